--- /dev/null
+++ b/src/main/java/calicovale/SessionController.java
@@ -0,0 +1,1096 @@
+package calicovale;
+
+import calicovale.ControllerApi.*;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/**
+ * All decisions of one session manager: who plays, where and at what quality. Events, actions and settings
+ * are in ControllerApi.java, the one interface file. Steps 1 to 5 of the design (normalized service capacity
+ * under a weighted cap, Shikata and Hanayama) decide the ordinary path; each departure says when it acts.
+ * Time comes from events only; equal events give equal actions.
+ */
+public final class SessionController {
+    // --- Constants: unit and reason ---
+    /** Part of a link or uplink that set-ups may fill; true rates swing by a tenth about the ladder. */
+    private static final double MARK = 0.90;
+    /** Part asked above which playing sessions are lowered: shortage begins at 1, notes are late. */
+    private static final double SHED = 0.97;
+    /** Part asked under which playing sessions may be raised: well under MARK, or raises would be undone. */
+    private static final double RAISE = 0.80;
+    /** ms; room must have lasted so long since the last lowering before a raise: two rounds of notes. */
+    private static final double CALM_MS = 6000;
+    /** Raises per playing session and second: with lowerings this stays under 3 steps a session-minute. */
+    private static final double RAISE_PACE = 0.02;
+    /** ms between looks at all links; shorter than a note's lateness, so no note waits long. */
+    private static final double TICK_MS = 250;
+    /** Weight of a new note against the estimate: notes carry noise of several per cent. */
+    private static final double NOTE_GAIN = 0.7;
+    /** Weight of an outcome's report: later and noisier than a note. */
+    private static final double REPORT_GAIN = 0.4;
+    /** ms; lateness of a report in an outcome: refreshes and delay are stated nowhere, this is a middle. */
+    private static final double REPORT_LATE_MS = 500;
+    /** Prior part asked of a link while nothing at all has been heard. */
+    private static final double PRIOR_USE = 0.6;
+    /** Highest part asked that is believed; above it a link is hopeless anyway. */
+    private static final double MOST_USE = 3;
+    /** Part per s by which an estimate older than two notes grows: silence makes careful, not blind. */
+    private static final double SILENCE_GROWTH = 0.01;
+    /** Most that silence adds. */
+    private static final double SILENCE_MOST = 0.08;
+    /** Share delivered from which on nothing counts as short (the wire's own figure). */
+    private static final double WHOLE_SHARE = 0.98;
+    /** ms for which a note of short delivery speaks of now: they come once a second. */
+    private static final double SHORT_FRESH_MS = 2200;
+    /** Fall per s of a rack's correction while no short delivery is heard and its use is not reported. */
+    private static final double BIAS_FALL = 0.01;
+    /** Bounds of a rack's correction: uplinks differ by a third, troubles divide them by up to eight. */
+    private static final double BIAS_LEAST = 0.5;
+    private static final double BIAS_MOST = 8;
+    /** ms; how long a lost attempt still counts as load: a hung server must not look emptiest. */
+    private static final double LOST_MS = 8000;
+    /** ms; first suspension after a failed set-up; doubles with each further one. */
+    private static final double SUSPEND_MS = 1500;
+    /** Doublings of the suspension at most. */
+    private static final int SUSPEND_DOUBLINGS = 3;
+    /** Part of the listed servers suspended at which suspensions are void: the fault is then elsewhere. */
+    private static final double ALL_BAD = 0.6;
+    /** Part of a cold server's permitted pace that all managers together use. */
+    private static final double COLD_MARGIN = 0.6;
+    /** Attempt's time-out as a part of the class's aim while set-up times are unknown: two fit the aim. */
+    private static final double AIM_PART = 0.45;
+    /** ms; shortest time-out of an attempt. */
+    private static final double LEAST_TIMEOUT_MS = 250;
+    /** Time-out over the usual set-up time, in its mean deviations. */
+    private static final double TIMEOUT_DEVIATIONS = 8;
+    /** ms left before the viewer gives up under which no attempt is worth sending. */
+    private static final double LEAST_LEFT_MS = 100;
+    /** ms; retry-after of a refusal, lowest and spread: about a session's departure at a busy server. */
+    private static final double RETRY_MS = 400;
+    private static final double RETRY_SPREAD_MS = 400;
+    /** ms between calls for the list after a failed one. */
+    private static final double ASK_AGAIN_MS = 1500;
+    /** Imaginary sessions of each class in the price while own ones are few. */
+    private static final double PRIOR_SESSIONS = 1;
+    /** s over which a tenant's rate is averaged. */
+    private static final double TENANT_S = 5;
+
+    private final Settings cfg;
+    private final Media media;
+    private final Actions out;
+    private final SplittableRandom random;
+    private final TreeMap<Long, Server> servers = new TreeMap<>();
+    private final TreeMap<Integer, Rack> racks = new TreeMap<>();
+    private final LinkedHashMap<String, Session> sessions = new LinkedHashMap<>();
+    private final Map<String, Integer> seats = new HashMap<>();
+    private final ArrayDeque<Double> taken = new ArrayDeque<>();
+    private final ArrayDeque<Double> extras = new ArrayDeque<>();
+    private final double[][] kb;
+    private final double[][] density;
+    private final double[] tenantRate;
+    private final double[] tenantAt;
+    private final double meanWorth;
+    private final double cap;
+    private double now;
+    private long listVersion = -1;
+    private double price;
+    private double pricedAt = Double.NEGATIVE_INFINITY;
+    private double raiseTokens;
+    private double tickedAt;
+    private double setupMs = -1;
+    private double setupDeviation;
+    private final double startedAt;
+
+    /** Starts a controller; {@code seed} feeds its only random source. */
+    public SessionController(Settings settings, long seed, double nowMs, Actions actions) {
+        if (settings == null || actions == null) {
+            throw new IllegalArgumentException("settings and actions are needed");
+        }
+        cfg = settings;
+        media = settings.media();
+        out = actions;
+        now = nowMs;
+        startedAt = nowMs;
+        tickedAt = nowMs;
+        random = new SplittableRandom(seed);
+        int rungs = media.rungKb().size();
+        if (rungs == 0 || media.rungWorth().size() != rungs || cfg.classes().isEmpty()) {
+            throw new IllegalArgumentException("settings need classes and a ladder with a worth for each rung");
+        }
+        kb = new double[cfg.classes().size()][rungs];
+        density = new double[cfg.classes().size()][rungs];
+        double worth = 0;
+        for (int c = 0; c < kb.length; c++) {
+            for (int r = 0; r < rungs; r++) {
+                kb[c][r] = media.rungKb().get(r) * cfg.classes().get(c).scale();
+            }
+            for (int r = 0; r < rungs; r++) {
+                density[c][r] = slope(c, r);
+            }
+            worth += cfg.classes().get(c).worth() / kb.length;
+        }
+        meanWorth = worth;
+        double streams = 0;
+        for (double kind : media.kindStreams()) {
+            streams += kind / media.kindStreams().size();
+        }
+        cap = streams > 0 ? streams * meanWorth : Double.MAX_VALUE;
+        tenantRate = new double[Math.max(1, cfg.tenants().size())];
+        tenantAt = new double[tenantRate.length];
+        if (cfg.askForList()) {
+            out.subscribe();
+        }
+        out.timer(TICK_MS * (0.5 + random.nextDouble()), "tick");
+    }
+
+    /** Worth per kB of rung r's step on the ladder's concave hull, so that it never rises up the ladder. */
+    private double slope(int c, int r) {
+        SessionClass k = cfg.classes().get(c);
+        double least = Double.MAX_VALUE;
+        for (int low = -1; low < r; low++) {
+            double steepest = 0;
+            for (int high = r; high < kb[c].length; high++) {
+                double worth = media.rungWorth().get(high) - (low < 0 ? 0 : media.rungWorth().get(low));
+                double rate = kb[c][high] - (low < 0 ? 0 : kb[c][low]);
+                steepest = Math.max(steepest, worth / rate);
+            }
+            least = Math.min(least, steepest);
+        }
+        return least * k.worth();
+    }
+
+    /** Takes one event; the actions it leads to have been called when this returns. */
+    public void handle(double nowMs, Event event) {
+        now = nowMs;
+        if (event instanceof Request e) {
+            onRequest(e);
+        } else if (event instanceof Takeover e) {
+            onTakeover(e);
+        } else if (event instanceof Started e) {
+            onStarted(e);
+        } else if (event instanceof AttemptEnded e) {
+            onEnded(e);
+        } else if (event instanceof Note e) {
+            onNote(e);
+        } else if (event instanceof Departed e) {
+            onDeparted(e);
+        } else if (event instanceof ServerList e) {
+            onList(e);
+        } else if (event instanceof ProbeEnded e) {
+            onProbe(e);
+        } else if (event instanceof TimerFired e) {
+            onTimer(e);
+        } else if (!(event instanceof PeerMessage)) {
+            throw new IllegalArgumentException("an event is needed");
+        }
+    }
+
+    // --- Requests and attempts ---
+
+    private void onRequest(Request e) {
+        check(e);
+        taken.addLast(now);
+        Session s = new Session(e);
+        s.weight = worthOf(e);
+        sessions.put(e.id(), s);
+        place(s);
+    }
+
+    private void check(Request e) {
+        if (e.sessionClass() >= cfg.classes().size()) {
+            throw new IllegalArgumentException("class " + e.sessionClass() + " is not in the settings");
+        }
+        if (sessions.containsKey(e.id())) {
+            throw new IllegalArgumentException("request " + e.id() + " is known already");
+        }
+    }
+
+    /** Sends the session to a server, or answers it at once. */
+    private void place(Session s) {
+        boolean first = s.attempts == 0;
+        double left = s.request.giveUpMs() - now;
+        if (left < LEAST_LEFT_MS || !first && !mayRepeat(s) || !seatFree(s)) {
+            answer(s);
+            return;
+        }
+        Server h = choose(s);
+        if (h == null) {
+            answer(s);
+            return;
+        }
+        if (!first) {
+            extras.addLast(now);
+        }
+        double timeout = Math.min(left, timeout(s));
+        s.server = h;
+        s.sentAt = now;
+        s.tried.add(h.id);
+        s.attempts++;
+        h.lastSent = now;
+        h.out++;
+        count(s, +1);
+        if (s.rung != s.k.lowestRung()) {
+            out.rung(s.request.id(), s.rung);
+            s.rungSent = true;
+        } else if (s.rungSent) {
+            out.rung(s.request.id(), s.rung);
+        }
+        out.attempt(s.request.id(), h.id, timeout);
+    }
+
+    private double timeout(Session s) {
+        double most = Math.max(LEAST_TIMEOUT_MS, AIM_PART * s.k.aimMs());
+        return setupMs < 0 ? most
+                : Math.max(LEAST_TIMEOUT_MS, Math.min(most, setupMs + TIMEOUT_DEVIATIONS * setupDeviation));
+    }
+
+    /** Rules 2 and 6: a further attempt only where none can have run, and within sendCap and the budget. */
+    private boolean mayRepeat(Session s) {
+        if (cfg.limits().attempts() > 0 && s.attempts >= cfg.limits().attempts()) {
+            return false;
+        }
+        if (s.mayHaveRun && s.k.effect() == Effect.SIDE_EFFECT) {
+            return false;
+        }
+        if (s.mayHaveRun && s.k.effect() == Effect.TOKEN && now - s.tokenAt >= s.k.tokenMs()) {
+            return false;
+        }
+        if (cfg.rules().extraFree() < 0) {
+            return true;
+        }
+        double from = now - cfg.rules().extraWindowMs();
+        while (!extras.isEmpty() && extras.peekFirst() < from) {
+            extras.removeFirst();
+        }
+        while (!taken.isEmpty() && taken.peekFirst() <= from) {
+            taken.removeFirst();
+        }
+        return extras.size() + 1 <= cfg.rules().extraFree() + cfg.rules().extraRatio() * taken.size();
+    }
+
+    /** Rule 5: sessions of one title and class, set-ups included. */
+    private boolean seatFree(Session s) {
+        return s.k.seats() <= 0 || seats.getOrDefault(s.seatKey(), 0) < s.k.seats();
+    }
+
+    /** The final answer, at once: a refusal where that is harmless, else a failure. */
+    private void answer(Session s) {
+        sessions.remove(s.request.id());
+        boolean harmless = !s.mayHaveRun || s.k.effect() == Effect.PURE
+                || s.k.effect() == Effect.TOKEN && s.k.group() == Group.ALL;
+        if (harmless) {
+            double after = RETRY_MS + RETRY_SPREAD_MS * random.nextDouble();
+            out.refuse(s.request.id(), Math.min(cfg.limits().retryAfterMs(), after));
+        } else {
+            out.fail(s.request.id());
+        }
+    }
+
+    private void onStarted(Started e) {
+        Session s = sessions.get(e.id());
+        if (s == null || s.server == null) {
+            return;
+        }
+        Server h = s.server;
+        s.playing = true;
+        s.startedAt = now;
+        h.out--;
+        h.strikes = Math.max(0, h.strikes - 1);
+        if (setupMs < 0) {
+            setupMs = e.elapsedMs();
+            setupDeviation = e.elapsedMs() / 2;
+        } else {
+            setupDeviation += 0.1 * (Math.abs(e.elapsedMs() - setupMs) - setupDeviation);
+            setupMs += 0.1 * (e.elapsedMs() - setupMs);
+        }
+    }
+
+    private void onTakeover(Takeover e) {
+        check(e.request());
+        Server h = server(e.server());
+        Session s = new Session(e.request());
+        s.weight = s.k.worth();
+        s.server = h;
+        s.playing = true;
+        s.attempts = 1;
+        s.startedAt = now;
+        s.rung = s.k.lowestRung();
+        s.rungSent = true;
+        sessions.put(e.request().id(), s);
+        count(s, +1);
+    }
+
+    private void onEnded(AttemptEnded e) {
+        Server h = servers.get(e.server());
+        Session s = sessions.get(e.id());
+        boolean known = s != null && s.server != null && s.server.id == e.server();
+        if (known) {
+            count(s, -1);
+            s.server = null;
+            if (!s.playing) {
+                h.out--;
+            }
+        }
+        if (h != null) {
+            report(h, e.load());
+            judge(h, e.outcome(), s != null && s.playing);
+        }
+        if (!known) {
+            return;
+        }
+        if (!e.outcome().provesUnrun() && !s.mayHaveRun) {
+            s.mayHaveRun = true;
+            s.tokenServer = h;
+            s.tokenAt = s.sentAt;
+        }
+        if (s.playing || s.departed || e.closed()) {
+            sessions.remove(e.id());
+        } else {
+            place(s);
+        }
+    }
+
+    private void onDeparted(Departed e) {
+        Session s = sessions.get(e.id());
+        if (s == null) {
+            return;
+        }
+        if (s.server == null) {
+            sessions.remove(e.id());
+            return;
+        }
+        s.departed = true;
+        if (!s.playing && cfg.limits().cancel()) {
+            out.cancel(e.id(), s.attempts - 1);
+        }
+    }
+
+    // --- Choice: steps 2, 3 and 5 of the design ---
+
+    private Server choose(Session s) {
+        reprice();
+        List<Server> holders = new ArrayList<>();
+        for (Server h : servers.values()) {
+            if (h.ready && holds(h, s.request) && !s.tried.contains(h.id) && groupAllows(s, h) && paceAllows(h)) {
+                holders.add(h);
+            }
+        }
+        List<Server> healthy = new ArrayList<>(holders);
+        healthy.removeIf(h -> !healthy(h));
+        if (!healthy.isEmpty() || !manyBad()) {
+            holders = healthy;
+        }
+        holders.removeIf(h -> load(h, s) / capacity(h) > cap);
+        if (cfg.zoneCost() > 0 && holders.stream().anyMatch(h -> h.zone == cfg.zone())) {
+            holders.removeIf(h -> h.zone != cfg.zone());
+        }
+        int want = wanted(s);
+        Server best = null;
+        double bestShare = 0;
+        int ties = 0;
+        for (int pass = 0; pass < 2 && best == null; pass++) {
+            for (Server h : holders) {
+                boolean fits = pass == 0 ? fits(h, added(h, s, want)) : fitting(h, s, want) >= 0;
+                if (!fits) {
+                    continue;
+                }
+                double share = capacity(h) * s.weight / load(h, s);
+                ties = share == bestShare ? ties + 1 : 1;
+                if (share > bestShare || share == bestShare && random.nextInt(ties) == 0) {
+                    best = h;
+                    bestShare = share;
+                }
+            }
+        }
+        if (best != null) {
+            s.rung = fitting(best, s, want);
+            return best;
+        }
+        // No rung fits: lower playing sessions of less worth per kB, if one holder's room can be made so.
+        holders.sort(Comparator.comparingDouble((Server h) -> -capacity(h) * s.weight / load(h, s)));
+        for (Server h : holders) {
+            if (makeRoom(h, s)) {
+                s.rung = s.k.lowestRung();
+                return h;
+            }
+        }
+        return null;
+    }
+
+    private boolean holds(Server h, Request r) {
+        int cells = media.cells();
+        return cells <= 0 || r.span() >= cells || Math.floorMod(h.cell - r.homeCell(), cells) < r.span();
+    }
+
+    private boolean groupAllows(Session s, Server h) {
+        if (!s.mayHaveRun || s.k.effect() != Effect.TOKEN || s.k.group() == Group.ALL || s.tokenServer == null) {
+            return true;
+        }
+        return s.k.group() == Group.ZONE ? h.zone == s.tokenServer.zone : h.cell == s.tokenServer.cell;
+    }
+
+    /**
+     * Rule 4. Managers take turns at a cold server by the common clock: each sends one set-up, in the first
+     * half of its own turn, so that in any window the sum of all stays under the budget without agreement.
+     */
+    private boolean paceAllows(Server h) {
+        double warm = cfg.rules().warmAfterMs();
+        if (now - h.coldSince >= warm && now - startedAt >= warm) {
+            return true;
+        }
+        double streams = h.kind < media.kindStreams().size() ? media.kindStreams().get(h.kind) : 1;
+        double perMs = COLD_MARGIN * cfg.rules().tipMultiple() * cfg.rules().coldFrom() * streams / warm;
+        double turn = 1 / perMs;
+        double round = turn * Math.max(1, cfg.controllers());
+        double phase = Math.IEEEremainder(now - turn * cfg.self(), round);
+        phase = phase < 0 ? phase + round : phase;
+        return phase < turn / 2 && now - h.lastSent > turn / 2;
+    }
+
+    /** Step 2: the weighted count with the newcomer, and with attempts lost of late. */
+    private double load(Server h, Session s) {
+        while (!h.lost.isEmpty() && now - h.lost.peekFirst() > LOST_MS) {
+            h.lost.removeFirst();
+        }
+        double mean = h.ownKb > 0 && h.sessions.size() > 2 ? h.ownKb / h.sessions.size() : meanKb();
+        double peers = h.peerStreams >= 0 ? h.peerStreams : peerKb(h) / mean;
+        return h.ownWeight + (peers + h.lost.size()) * meanWorth + s.k.worth();
+    }
+
+    private double meanKb() {
+        double sum = 0;
+        int n = 0;
+        for (Server h : servers.values()) {
+            sum += h.ownKb;
+            n += h.sessions.size();
+        }
+        return n > 0 ? sum / n : media.rungKb().get(media.rungKb().size() / 2);
+    }
+
+    /** C_h: the link over the mean link. */
+    private double capacity(Server h) {
+        double sum = 0;
+        int n = 0;
+        for (Server other : servers.values()) {
+            if (other.ready) {
+                sum += other.link;
+                n++;
+            }
+        }
+        return n == 0 || sum <= 0 ? 1 : h.link / (sum / n);
+    }
+
+    /** The rung that the present price leaves the viewer: the top one while room is not scarce. */
+    private int wanted(Session s) {
+        int rung = s.k.lowestRung();
+        int top = Math.min(s.request.top(), Math.min(s.k.highestRung(), media.rungKb().size() - 1));
+        while (rung < top && density[s.c][rung + 1] * s.discount() >= price) {
+            rung++;
+        }
+        return rung;
+    }
+
+    private int fitting(Server h, Session s, int want) {
+        for (int rung = want; rung >= s.k.lowestRung(); rung--) {
+            if (fits(h, added(h, s, rung))) {
+                return rung;
+            }
+        }
+        return -1;
+    }
+
+    private double added(Server h, Session s, int rung) {
+        boolean joins = s.k.live() && h.streams.getOrDefault(s.streamKey(rung), 0) > 0;
+        return kb[s.c][rung] * (joins ? media.join() : 1);
+    }
+
+    private boolean fits(Server h, double addedKb) {
+        return use(h) + addedKb / h.link <= MARK && uplinkUse(h.rack) + h.rack.part(addedKb) <= MARK;
+    }
+
+    // --- Estimates of links and uplinks ---
+
+    /** Part of the link asked: own sessions, peers' last seen, and a little for long silence. */
+    private double use(Server h) {
+        double use = (h.ownKb + peerKb(h)) / h.link;
+        double silent = (now - h.heardAt - 2 * media.noteEveryMs()) / 1000;
+        if (media.noteEveryMs() > 0 && silent > 0 && h.heardAt > 0) {
+            use += Math.min(SILENCE_MOST, SILENCE_GROWTH * silent);
+        }
+        return use;
+    }
+
+    /** Peers' demand; at servers not heard of, what leaves the link as full as the average. */
+    private double peerKb(Server h) {
+        return h.heardAt > 0 ? h.peerKb : Math.max(0, averageUse() * h.link - h.ownKb);
+    }
+
+    private double averageUse() {
+        double asked = 0;
+        double links = 0;
+        double own = 0;
+        double all = 0;
+        for (Server h : servers.values()) {
+            if (h.ready) {
+                own += h.ownKb;
+                all += h.link;
+                if (h.heardAt > 0) {
+                    asked += h.ownKb + h.peerKb;
+                    links += h.link;
+                }
+            }
+        }
+        return links > 0 ? asked / links
+                : own > 0 ? Math.min(MARK, own * cfg.controllers() / all) : PRIOR_USE;
+    }
+
+    private double uplinkUse(Rack rack) {
+        return rack.uplinkKb <= 0 ? 0 : rack.bias * rack.asked() / rack.uplinkKb;
+    }
+
+    private void report(Server h, Map<String, Double> load) {
+        if (load.isEmpty()) {
+            return;
+        }
+        Double use = load.containsKey("x0") ? load.get("x0") : load.get("util");
+        if (use != null) {
+            heard(h, use, REPORT_LATE_MS, REPORT_GAIN, !load.containsKey("x0") && use >= 0.995);
+        }
+        if (load.containsKey("inflight")) {
+            h.peerStreams = Math.max(0, load.get("inflight") - h.sessions.size());
+        }
+        if (load.containsKey("x1")) {
+            heardUplink(h.rack, load.get("x1"), REPORT_GAIN);
+        }
+    }
+
+    /** A reading of the link's use, {@code late} ms old; {@code atLeast}: it is capped. */
+    private void heard(Server h, double use, double late, double gain, boolean atLeast) {
+        double asked = Math.min(MOST_USE, Math.max(0, use)) * h.link;
+        double peers = Math.max(0, asked - h.ownAt(now - late));
+        if (h.heardAt <= 0) {
+            h.peerKb = peers;
+        } else if (!atLeast || peers > h.peerKb) {
+            h.peerKb += gain * (peers - h.peerKb);
+        }
+        h.heardAt = now;
+    }
+
+    private void heardUplink(Rack rack, double use, double gain) {
+        double asked = rack.asked() / Math.max(1, rack.uplinkKb);
+        if (asked > 0.05) {
+            double bias = Math.max(BIAS_LEAST, Math.min(BIAS_MOST, use / asked));
+            rack.bias += (rack.heardAt > 0 ? gain : 1) * (bias - rack.bias);
+        }
+        rack.heardAt = now;
+    }
+
+    private void onNote(Note e) {
+        Session s = sessions.get(e.id());
+        Server h = servers.get(e.server());
+        if (h == null) {
+            return;
+        }
+        boolean fresh = s != null && now - s.startedAt < media.noteDelayMs() / 2 && s.attempts > 0;
+        switch (e.kind()) {
+            case RUNG -> {
+                if (s != null && s.server != null) {
+                    int rung = (int) Math.max(0, Math.min(media.rungKb().size() - 1, e.value()));
+                    if (rung != s.rung) {
+                        count(s, -1);
+                        s.rung = rung;
+                        count(s, +1);
+                    }
+                }
+            }
+            case LINK_USE -> heard(h, e.value(), fresh ? 0 : media.noteDelayMs(), NOTE_GAIN, false);
+            case UPLINK_USE -> heardUplink(h.rack, e.value(), NOTE_GAIN);
+            case DELIVERED_SHARE -> shortDelivery(h, e.value());
+            default -> {
+            }
+        }
+        relieve(h);
+    }
+
+    /** A note of short delivery raises the estimate of what is short: the uplink if the rack is, else the link. */
+    private void shortDelivery(Server h, double share) {
+        if (share >= WHOLE_SHARE) {
+            h.shortAt = Double.NEGATIVE_INFINITY;
+            return;
+        }
+        h.shortAt = now;
+        double asked = Math.min(MOST_USE, 1 / Math.max(0.05, share));
+        double explained = Math.max((h.ownAt(now - media.noteDelayMs()) + peerKb(h)) / h.link, uplinkUse(h.rack));
+        if (explained >= asked * 0.95) {
+            return;
+        }
+        int near = 0;
+        for (Server other : h.rack.servers) {
+            near += now - other.shortAt < SHORT_FRESH_MS ? 1 : 0;
+        }
+        if (near >= 2 && h.rack.uplinkKb > 0 && h.rack.heardAt <= 0) {
+            double bias = asked * h.rack.uplinkKb / Math.max(1, h.rack.asked());
+            h.rack.bias = Math.min(BIAS_MOST, Math.max(h.rack.bias, h.rack.bias + 0.5 * (bias - h.rack.bias)));
+        } else {
+            h.peerKb = Math.max(h.peerKb, asked * h.link - h.ownKb);
+            h.heardAt = now;
+        }
+    }
+
+    // --- Rungs of playing sessions ---
+
+    /** The price of a kB: what own sessions' steps must be worth for all own demand to keep its share. */
+    private void reprice() {
+        if (now - pricedAt < TICK_MS) {
+            return;
+        }
+        pricedAt = now;
+        double target = 0;
+        for (Rack rack : racks.values()) {
+            double links = 0;
+            double asked = 0;
+            double own = 0;
+            for (Server h : rack.servers) {
+                if (h.ready && healthy(h)) {
+                    links += h.link * MARK;
+                    asked += h.ownKb + peerKb(h);
+                    own += h.ownKb;
+                }
+            }
+            double room = rack.uplinkKb > 0 ? Math.min(links, MARK * rack.uplinkKb / rack.bias) : links;
+            target += asked > 0 ? own * room / asked : room / Math.max(1, cfg.controllers());
+        }
+        TreeMap<Double, Double> steps = new TreeMap<>(Comparator.reverseOrder());
+        double base = 0;
+        double prior = 0;
+        for (int c = 0; c < kb.length; c++) {
+            SessionClass k = cfg.classes().get(c);
+            prior += PRIOR_SESSIONS * kb[c][k.lowestRung()];
+        }
+        for (Session s : sessions.values()) {
+            if (s.server == null) {
+                continue;
+            }
+            base += kb[s.c][s.k.lowestRung()];
+            int top = Math.min(s.request.top(), Math.min(s.k.highestRung(), kb[s.c].length - 1));
+            for (int r = s.k.lowestRung() + 1; r <= top; r++) {
+                steps.merge(density[s.c][r] * s.discount(), kb[s.c][r] - kb[s.c][r - 1], Double::sum);
+            }
+        }
+        double used = base;
+        price = 0;
+        if (base <= prior) {
+            return;
+        }
+        for (Map.Entry<Double, Double> step : steps.entrySet()) {
+            used += step.getValue();
+            if (used > target) {
+                price = step.getKey();
+                return;
+            }
+        }
+    }
+
+    private void onTimer(TimerFired e) {
+        if (e.name().equals("list")) {
+            out.subscribe();
+            return;
+        }
+        if (!e.name().equals("tick")) {
+            return;
+        }
+        double s = (now - tickedAt) / 1000;
+        tickedAt = now;
+        out.timer(TICK_MS * (0.8 + 0.4 * random.nextDouble()), "tick");
+        reprice();
+        int playing = sessions.size();
+        raiseTokens = Math.min(Math.max(1, playing * 0.05), raiseTokens + RAISE_PACE * playing * s);
+        for (Rack rack : racks.values()) {
+            if (rack.heardAt <= 0 && rack.bias > 1) {
+                rack.bias = Math.max(1, rack.bias * (1 - BIAS_FALL * s));
+            }
+        }
+        for (Server h : servers.values()) {
+            relieve(h);
+        }
+        raise();
+    }
+
+    /** Lowers own sessions where a link or uplink is really short, by this manager's part of the excess. */
+    private void relieve(Server h) {
+        double use = use(h);
+        if (use > SHED && h.ownKb > 0 && now - h.relievedAt > TICK_MS) {
+            h.relievedAt = now;
+            lower(new ArrayList<>(h.sessions), h.ownKb * (use - MARK) / use, Double.MAX_VALUE);
+        }
+        double up = uplinkUse(h.rack);
+        if (up > SHED && now - h.rack.relievedAt > TICK_MS) {
+            h.rack.relievedAt = now;
+            List<Session> all = new ArrayList<>();
+            double own = 0;
+            for (Server other : h.rack.servers) {
+                all.addAll(other.sessions);
+                own += other.ownKb;
+                other.relievedAt = now;
+            }
+            lower(all, own * (up - MARK) / up, Double.MAX_VALUE);
+        }
+    }
+
+    /** Lowers sessions step by step, least worth per kB first; returns the kB freed. */
+    private double lower(List<Session> from, double need, double under) {
+        double freed = 0;
+        while (freed < need) {
+            Session worst = null;
+            for (Session s : from) {
+                if (s.playing && s.rung > s.k.lowestRung() && s.step() < under
+                        && (worst == null || s.step() < worst.step())) {
+                    worst = s;
+                }
+            }
+            if (worst == null) {
+                break;
+            }
+            double before = worst.server.ownKb;
+            setRung(worst, worst.rung - 1);
+            freed += before - worst.server.ownKb;
+        }
+        return freed;
+    }
+
+    private boolean makeRoom(Server h, Session s) {
+        double value = density[s.c][s.k.lowestRung()] * s.discount();
+        double addedKb = added(h, s, s.k.lowestRung());
+        double overLink = (use(h) - MARK) * h.link + addedKb;
+        double overUp = h.rack.uplinkKb <= 0 ? 0
+                : (uplinkUse(h.rack) - MARK) * h.rack.uplinkKb / h.rack.bias + addedKb;
+        double can = 0;
+        for (Session other : h.sessions) {
+            for (int r = other.rung; other.playing && r > other.k.lowestRung(); r--) {
+                can += density[other.c][r] * other.discount() < value ? kb[other.c][r] - kb[other.c][r - 1] : 0;
+            }
+        }
+        double need = Math.max(overLink, overUp);
+        if (can < need) {
+            return false;
+        }
+        lower(new ArrayList<>(h.sessions), need, value);
+        return true;
+    }
+
+    /** Raises own sessions to what the price leaves them, sparingly, where room has lasted. */
+    private void raise() {
+        List<Session> low = new ArrayList<>();
+        for (Session s : sessions.values()) {
+            if (s.playing && s.rung < wanted(s) && now - s.changedAt > CALM_MS && now - s.startedAt > CALM_MS / 2
+                    && now - s.server.relievedAt > CALM_MS && now - s.server.rack.relievedAt > CALM_MS) {
+                low.add(s);
+            }
+        }
+        low.sort(Comparator.comparingDouble(s -> -density[s.c][s.rung + 1] * s.discount()));
+        for (Session s : low) {
+            if (raiseTokens < 1) {
+                return;
+            }
+            double more = kb[s.c][s.rung + 1] - kb[s.c][s.rung];
+            if (use(s.server) + more / s.server.link <= RAISE
+                    && uplinkUse(s.server.rack) + s.server.rack.part(more) <= RAISE) {
+                raiseTokens--;
+                setRung(s, s.rung + 1);
+            }
+        }
+    }
+
+    private void setRung(Session s, int rung) {
+        count(s, -1);
+        s.rung = rung;
+        s.rungSent = true;
+        s.changedAt = now;
+        count(s, +1);
+        out.rung(s.request.id(), rung);
+    }
+
+    // --- Health ---
+
+    private boolean healthy(Server h) {
+        return now >= h.suspendedUntil && (h.strikes == 0 || h.out == 0);
+    }
+
+    private boolean manyBad() {
+        int bad = 0;
+        int all = 0;
+        for (Server h : servers.values()) {
+            all += h.ready ? 1 : 0;
+            bad += h.ready && !healthy(h) ? 1 : 0;
+        }
+        return bad >= ALL_BAD * all;
+    }
+
+    /** Judges a server by how an attempt ended: symptoms, whatever their cause. */
+    private void judge(Server h, Outcome outcome, boolean playing) {
+        switch (outcome) {
+            case TIMEOUT, ERROR -> {
+                h.lost.addLast(now);
+                strike(h);
+            }
+            case CONNECT_FAILED, RESET -> {
+                // its start may only be seen so: cold from the last failure on
+                h.coldSince = Math.max(h.coldSince, now);
+                strike(h);
+            }
+            case FULL -> {
+                if (media.fullFrom() > 0) {
+                    h.peerKb = Math.max(h.peerKb, media.fullFrom() * h.link - h.ownKb);
+                    h.heardAt = now;
+                } else {
+                    h.suspendedUntil = Math.max(h.suspendedUntil, now + SUSPEND_MS);
+                }
+            }
+            default -> {
+            }
+        }
+    }
+
+    private void strike(Server h) {
+        if (now > h.struckAt) {
+            h.struckAt = now;
+            h.strikes = Math.min(h.strikes + 1, 2 + SUSPEND_DOUBLINGS);
+        }
+        double length = SUSPEND_MS * (1 << Math.min(SUSPEND_DOUBLINGS, h.strikes - 1));
+        h.suspendedUntil = Math.max(h.suspendedUntil, now + length);
+    }
+
+    private void onProbe(ProbeEnded e) {
+        Server h = servers.get(e.server());
+        if (h != null) {
+            report(h, e.load());
+            judge(h, e.outcome(), false);
+        }
+    }
+
+    // --- The list ---
+
+    private void onList(ServerList e) {
+        if (e.scope() == ListScope.FAILED) {
+            if (cfg.askForList()) {
+                out.timer(ASK_AGAIN_MS * (1 + random.nextDouble()), "list");
+            }
+            return;
+        }
+        boolean older = e.version() < listVersion;
+        listVersion = Math.max(listVersion, e.version());
+        Set<Long> named = new HashSet<>();
+        for (ServerEntry entry : e.servers()) {
+            named.add(entry.server());
+            Server h = server(entry.server());
+            boolean newStart = entry.startedMs() > h.coldSince;
+            if (newStart) {
+                h.coldSince = entry.startedMs();
+            }
+            // an older list may take a server away, never bring one back
+            boolean ready = entry.state() == ServerState.READY;
+            if (!older || !ready || newStart || !h.listed) {
+                h.ready = ready;
+            }
+            h.listed = true;
+            h.kind = entry.kind();
+            h.zone = entry.zone();
+            h.cell = entry.cell();
+            h.link = Math.max(1, media.linkKbPerWeight() * (entry.weight() > 0 ? entry.weight() : 1));
+            rackOf(h, media.racks() > 0 ? entry.cell() % media.racks() : 0);
+        }
+        if (e.scope() != ListScope.CHANGES) {
+            for (Server h : servers.values()) {
+                h.ready &= named.contains(h.id);
+            }
+        }
+    }
+
+    private Server server(long id) {
+        Server h = servers.get(id);
+        if (h == null) {
+            h = new Server(id);
+            h.link = Math.max(1, media.linkKbPerWeight());
+            servers.put(id, h);
+            rackOf(h, 0);
+        }
+        return h;
+    }
+
+    private void rackOf(Server h, int number) {
+        Rack rack = racks.computeIfAbsent(number, n -> new Rack(media.racks() > 0 ? media.uplinkKb() : 0));
+        if (h.rack != rack) {
+            if (h.rack != null) {
+                h.rack.servers.remove(h);
+            }
+            h.rack = rack;
+            rack.servers.add(h);
+        }
+    }
+
+    // --- Counts ---
+
+    /** Adds a session to its server's counts, or takes it off. */
+    private void count(Session s, int sign) {
+        Server h = s.server;
+        double before = h.ownKb;
+        String key = s.k.live() ? s.streamKey(s.rung) : null;
+        int sharing = key == null ? 0 : h.streams.getOrDefault(key, 0);
+        boolean joins = key != null && (sign > 0 ? sharing > 0 : sharing > 1);
+        h.ownKb = Math.max(0, h.ownKb + sign * kb[s.c][s.rung] * (joins ? media.join() : 1));
+        h.ownWeight = Math.max(0, h.ownWeight + sign * s.k.worth());
+        if (key != null) {
+            h.streams.merge(key, sign, Integer::sum);
+        }
+        if (sign > 0) {
+            h.sessions.add(s);
+        } else {
+            h.sessions.remove(s);
+        }
+        if (s.k.seats() > 0) {
+            seats.merge(s.seatKey(), sign, Integer::sum);
+        }
+        h.remember(now, h.ownKb - before);
+    }
+
+    /** The worth of a request: less beyond its tenant's share, by the rate seen here. */
+    private double worthOf(Request e) {
+        double worth = cfg.classes().get(e.sessionClass()).worth();
+        if (cfg.tenants().isEmpty() || e.tenant() >= cfg.tenants().size()) {
+            return worth;
+        }
+        int t = e.tenant();
+        double kept = Math.exp(-(now - tenantAt[t]) / 1000 / TENANT_S);
+        tenantRate[t] = tenantRate[t] * kept + 1 / TENANT_S;
+        tenantAt[t] = now;
+        double quota = cfg.tenants().get(t).quotaPerSecond() / Math.max(1, cfg.controllers());
+        return quota > 0 && tenantRate[t] > quota * 1.2 ? worth * cfg.overShareWorth() : worth;
+    }
+
+    /** One request, from its arrival to its end. */
+    private final class Session {
+        final Request request;
+        final int c;
+        final SessionClass k;
+        final Set<Long> tried = new HashSet<>();
+        double weight;
+        Server server;
+        Server tokenServer;
+        double tokenAt;
+        double sentAt;
+        double startedAt;
+        double changedAt = Double.NEGATIVE_INFINITY;
+        int attempts;
+        int rung;
+        boolean rungSent;
+        boolean playing;
+        boolean mayHaveRun;
+        boolean departed;
+
+        Session(Request request) {
+            this.request = request;
+            this.c = request.sessionClass();
+            this.k = cfg.classes().get(c);
+        }
+
+        double discount() {
+            return weight / k.worth();
+        }
+
+        /** Worth per kB of the step that it stands on. */
+        double step() {
+            return density[c][rung] * discount();
+        }
+
+        String seatKey() {
+            return c + " " + request.title();
+        }
+
+        String streamKey(int at) {
+            return at + " " + c + " " + request.title();
+        }
+    }
+
+    /** One server as seen from here. */
+    private static final class Server {
+        final long id;
+        final Set<Session> sessions = new java.util.LinkedHashSet<>();
+        final Map<String, Integer> streams = new HashMap<>();
+        final ArrayDeque<Double> lost = new ArrayDeque<>();
+        final ArrayDeque<double[]> changes = new ArrayDeque<>();
+        Rack rack;
+        boolean listed;
+        boolean ready;
+        int kind;
+        int zone;
+        int cell;
+        int out;
+        int strikes;
+        double link;
+        double ownKb;
+        double ownWeight;
+        double peerKb;
+        double peerStreams = -1;
+        double heardAt;
+        double shortAt = Double.NEGATIVE_INFINITY;
+        double struckAt = Double.NEGATIVE_INFINITY;
+        double suspendedUntil = Double.NEGATIVE_INFINITY;
+        double coldSince = Double.NEGATIVE_INFINITY;
+        double lastSent = Double.NEGATIVE_INFINITY;
+        double relievedAt = Double.NEGATIVE_INFINITY;
+
+        Server(long id) {
+            this.id = id;
+        }
+
+        void remember(double at, double change) {
+            changes.addLast(new double[] {at, change});
+            while (changes.peekFirst()[0] < at - 6000) {
+                changes.removeFirst();
+            }
+        }
+
+        /** Own demand at an earlier time: readings are late. */
+        double ownAt(double at) {
+            double own = ownKb;
+            for (double[] change : changes) {
+                own -= change[0] > at ? change[1] : 0;
+            }
+            return Math.max(0, own);
+        }
+    }
+
+    /** One rack: its uplink, and how far its use stands from what the links' estimates say. */
+    private final class Rack {
+        final List<Server> servers = new ArrayList<>();
+        final double uplinkKb;
+        double bias = 1;
+        double heardAt;
+        double relievedAt = Double.NEGATIVE_INFINITY;
+
+        Rack(double uplinkKb) {
+            this.uplinkKb = uplinkKb;
+        }
+
+        double asked() {
+            double asked = 0;
+            for (Server h : servers) {
+                asked += h.ready || h.ownKb > 0 ? h.ownKb + peerKb(h) : 0;
+            }
+            return asked;
+        }
+
+        double part(double kbs) {
+            return uplinkKb <= 0 ? 0 : bias * kbs / uplinkKb;
+        }
+    }
+}
