--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -109,6 +109,7 @@
     private double setupMs = -1;
     private double setupDeviation;
     private final double startedAt;
+    private boolean handedOver;
 
     /** Starts a controller; {@code seed} feeds its only random source. */
     public SessionController(Settings settings, long seed, double nowMs, Actions actions) {
@@ -316,6 +317,7 @@
 
     private void onTakeover(Takeover e) {
         check(e.request());
+        handedOver = true;
         Server h = server(e.server());
         Session s = new Session(e.request());
         s.weight = s.k.worth();
@@ -444,7 +446,7 @@
      */
     private boolean paceAllows(Server h) {
         double warm = cfg.rules().warmAfterMs();
-        if (now - h.coldSince >= warm && now - startedAt >= warm) {
+        if (now - h.coldSince >= warm && (handedOver || now - startedAt >= warm)) {
             return true;
         }
         double streams = h.kind < media.kindStreams().size() ? media.kindStreams().get(h.kind) : 1;
