Lower only on evidence, once for each, peers taken to do their part; one change a session

Cause: each manager shed the whole excess again at every look, on guesses about peers too, a change per step.

--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -556,7 +557,7 @@
     }
 
     private double uplinkUse(Rack rack) {
-        return rack.uplinkKb <= 0 ? 0 : rack.bias * rack.asked() / rack.uplinkKb;
+        return rack.uplinkKb <= 0 ? 0 : rack.bias * rack.asked(now) / rack.uplinkKb;
     }
 
     private void report(Server h, Map<String, Double> load) {
@@ -571,7 +572,7 @@
             h.peerStreams = Math.max(0, load.get("inflight") - h.sessions.size());
         }
         if (load.containsKey("x1")) {
-            heardUplink(h.rack, load.get("x1"), REPORT_GAIN);
+            heardUplink(h.rack, load.get("x1"), REPORT_LATE_MS, REPORT_GAIN);
         }
     }
 
@@ -587,11 +588,12 @@
         h.heardAt = now;
     }
 
-    private void heardUplink(Rack rack, double use, double gain) {
-        double asked = rack.asked() / Math.max(1, rack.uplinkKb);
+    private void heardUplink(Rack rack, double use, double late, double gain) {
+        double asked = rack.asked(now - late) / Math.max(1, rack.uplinkKb);
         if (asked > 0.05) {
             double bias = Math.max(BIAS_LEAST, Math.min(BIAS_MOST, use / asked));
-            rack.bias += (rack.heardAt > 0 ? gain : 1) * (bias - rack.bias);
+            rack.bias += (rack.told ? gain : 1) * (bias - rack.bias);
+            rack.told = true;
         }
         rack.heardAt = now;
     }
@@ -615,7 +617,7 @@
                 }
             }
             case LINK_USE -> heard(h, e.value(), fresh ? 0 : media.noteDelayMs(), NOTE_GAIN, false);
-            case UPLINK_USE -> heardUplink(h.rack, e.value(), NOTE_GAIN);
+            case UPLINK_USE -> heardUplink(h.rack, e.value(), fresh ? 0 : media.noteDelayMs(), NOTE_GAIN);
             case DELIVERED_SHARE -> shortDelivery(h, e.value());
             default -> {
             }
@@ -639,9 +641,10 @@
         for (Server other : h.rack.servers) {
             near += now - other.shortAt < SHORT_FRESH_MS ? 1 : 0;
         }
-        if (near >= 2 && h.rack.uplinkKb > 0 && h.rack.heardAt <= 0) {
-            double bias = asked * h.rack.uplinkKb / Math.max(1, h.rack.asked());
+        if (near >= 2 && h.rack.uplinkKb > 0 && !h.rack.told) {
+            double bias = asked * h.rack.uplinkKb / Math.max(1, h.rack.asked(now));
             h.rack.bias = Math.min(BIAS_MOST, Math.max(h.rack.bias, h.rack.bias + 0.5 * (bias - h.rack.bias)));
+            h.rack.heardAt = now;
         } else {
             h.peerKb = Math.max(h.peerKb, asked * h.link - h.ownKb);
             h.heardAt = now;
@@ -717,7 +720,7 @@
         int playing = sessions.size();
         raiseTokens = Math.min(Math.max(1, playing * 0.05), raiseTokens + RAISE_PACE * playing * s);
         for (Rack rack : racks.values()) {
-            if (rack.heardAt <= 0 && rack.bias > 1) {
+            if (!rack.told && rack.bias > 1) {
                 rack.bias = Math.max(1, rack.bias * (1 - BIAS_FALL * s));
             }
         }
@@ -727,30 +730,37 @@
         raise();
     }
 
-    /** Lowers own sessions where a link or uplink is really short, by this manager's part of the excess. */
+    /**
+     * Lowers own sessions where a link or uplink is really short, by this manager's part of the excess. Acts
+     * once on each piece of evidence, never on a guess, and takes it that peers, who hear the same notes, do
+     * their part: else each manager would shed the whole excess, again at every look.
+     */
     private void relieve(Server h) {
         double use = use(h);
-        if (use > SHED && h.ownKb > 0 && now - h.relievedAt > TICK_MS) {
+        if (use > SHED && h.heardAt > h.relievedAt) {
             h.relievedAt = now;
             lower(new ArrayList<>(h.sessions), h.ownKb * (use - MARK) / use, Double.MAX_VALUE);
+            h.peerKb *= MARK / use;
         }
-        double up = uplinkUse(h.rack);
-        if (up > SHED && now - h.rack.relievedAt > TICK_MS) {
-            h.rack.relievedAt = now;
+        Rack rack = h.rack;
+        double up = uplinkUse(rack);
+        if (up > SHED && rack.heardAt > rack.relievedAt) {
+            rack.relievedAt = now;
             List<Session> all = new ArrayList<>();
             double own = 0;
-            for (Server other : h.rack.servers) {
+            for (Server other : rack.servers) {
                 all.addAll(other.sessions);
                 own += other.ownKb;
-                other.relievedAt = now;
+                other.peerKb = peerKb(other) * MARK / up;
             }
             lower(all, own * (up - MARK) / up, Double.MAX_VALUE);
         }
     }
 
-    /** Lowers sessions step by step, least worth per kB first; returns the kB freed. */
+    /** Lowers sessions, least worth per kB first, each with one change; returns the kB freed. */
     private double lower(List<Session> from, double need, double under) {
         double freed = 0;
+        Set<Session> changed = new LinkedHashSet<>();
         while (freed < need) {
             Session worst = null;
             for (Session s : from) {
@@ -763,9 +773,13 @@
                 break;
             }
             double before = worst.server.ownKb;
-            setRung(worst, worst.rung - 1);
+            shift(worst, worst.rung - 1);
+            changed.add(worst);
             freed += before - worst.server.ownKb;
         }
+        for (Session s : changed) {
+            out.rung(s.request.id(), s.rung);
+        }
         return freed;
     }
 
@@ -807,18 +821,18 @@
             if (use(s.server) + more / s.server.link <= RAISE
                     && uplinkUse(s.server.rack) + s.server.rack.part(more) <= RAISE) {
                 raiseTokens--;
-                setRung(s, s.rung + 1);
+                shift(s, s.rung + 1);
+                out.rung(s.request.id(), s.rung);
             }
         }
     }
 
-    private void setRung(Session s, int rung) {
+    private void shift(Session s, int rung) {
         count(s, -1);
         s.rung = rung;
         s.rungSent = true;
         s.changedAt = now;
         count(s, +1);
-        out.rung(s.request.id(), rung);
     }
 
     // --- Health ---
@@ -1025,7 +1039,7 @@
     /** One server as seen from here. */
     private static final class Server {
         final long id;
-        final Set<Session> sessions = new java.util.LinkedHashSet<>();
+        final Set<Session> sessions = new LinkedHashSet<>();
         final Map<String, Integer> streams = new HashMap<>();
         final ArrayDeque<Double> lost = new ArrayDeque<>();
         final ArrayDeque<double[]> changes = new ArrayDeque<>();
@@ -1076,6 +1090,7 @@
         final List<Server> servers = new ArrayList<>();
         final double uplinkKb;
         double bias = 1;
+        boolean told;
         double heardAt;
         double relievedAt = Double.NEGATIVE_INFINITY;
 
@@ -1083,10 +1098,10 @@
             this.uplinkKb = uplinkKb;
         }
 
-        double asked() {
+        double asked(double at) {
             double asked = 0;
             for (Server h : servers) {
-                asked += h.ready || h.ownKb > 0 ? h.ownKb + peerKb(h) : 0;
+                asked += h.ready || h.ownKb > 0 ? h.ownAt(at) + peerKb(h) : 0;
             }
             return asked;
         }
