--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -42,6 +42,10 @@
     private static final double REPORT_LATE_MS = 500;
     /** Prior part asked of a link while nothing at all has been heard. */
     private static final double PRIOR_USE = 0.6;
+    /** Weight of the prior against all links heard of: it matters only when next to nothing is heard. */
+    private static final double PRIOR_WEIGHT = 0.05;
+    /** ms in which a reading older than two notes loses two thirds of its say. */
+    private static final double FADE_MS = 4000;
     /** Highest part asked that is believed; above it a link is hopeless anyway. */
     private static final double MOST_USE = 3;
     /** Part per s by which an estimate older than two notes grows: silence makes careful, not blind. */
@@ -57,6 +61,10 @@
     /** Bounds of a rack's correction: uplinks differ by a third, troubles divide them by up to eight. */
     private static final double BIAS_LEAST = 0.5;
     private static final double BIAS_MOST = 8;
+    /** Correction that an uplink may have for good; what is above is trouble that ends, so it falls faster. */
+    private static final double BIAS_USUAL = 1.3;
+    /** ms for all managers' lowering of rungs to show, beside a note's lateness. */
+    private static final double REACT_MS = 400;
     /** ms; how long a lost attempt still counts as load: a hung server must not look emptiest. */
     private static final double LOST_MS = 8000;
     /** ms; first suspension after a failed set-up; doubles with each further one. */
@@ -67,6 +75,8 @@
     private static final double ALL_BAD = 0.6;
     /** Part of a cold server's permitted pace that all managers together use. */
     private static final double COLD_MARGIN = 0.6;
+    /** ms after a start without hand-over in which any server may be cold unknown to this manager. */
+    private static final double BLIND_MS = 4000;
     /** Attempt's time-out as a part of the class's aim while set-up times are unknown: two fit the aim. */
     private static final double AIM_PART = 0.45;
     /** ms; shortest time-out of an attempt. */
@@ -103,6 +113,8 @@
     private final double cap;
     private double now;
     private long listVersion = -1;
+    private double average;
+    private double averagedAt = Double.NEGATIVE_INFINITY;
     private double price;
     private double pricedAt = Double.NEGATIVE_INFINITY;
     private double raiseTokens;
@@ -447,13 +459,17 @@
      */
     private boolean paceAllows(Server h) {
         double warm = cfg.rules().warmAfterMs();
-        if (now - h.coldSince >= warm && (handedOver || now - startedAt >= warm)) {
+        boolean cold = now - h.coldSince < warm;
+        if (!cold && (handedOver || now - startedAt >= BLIND_MS)) {
             return true;
         }
         double streams = h.kind < media.kindStreams().size() ? media.kindStreams().get(h.kind) : 1;
         double perMs = COLD_MARGIN * cfg.rules().tipMultiple() * cfg.rules().coldFrom() * streams / warm;
         double turn = 1 / perMs;
         double round = turn * Math.max(1, cfg.controllers());
+        if (!cold) {
+            return now - h.lastSent > round;
+        }
         double phase = Math.IEEEremainder(now - turn * cfg.self(), round);
         phase = phase < 0 ? phase + round : phase;
         return phase < turn / 2 && now - h.lastSent > turn / 2;
@@ -532,12 +548,27 @@
         return use;
     }
 
-    /** Peers' demand; at servers not heard of, what leaves the link as full as the average. */
+    /**
+     * Peers' demand. What was heard fades to the average as it ages: a server that looked full is otherwise
+     * never sent to again, and so never heard of again.
+     */
     private double peerKb(Server h) {
-        return h.heardAt > 0 ? h.peerKb : Math.max(0, averageUse() * h.link - h.ownKb);
+        double trust = trust(h.heardAt);
+        double unheard = trust > 0.99 ? 0 : Math.max(0, averageUse() * h.link - h.ownKb);
+        return trust * h.peerKb + (1 - trust) * unheard;
     }
 
+    private double trust(double heardAt) {
+        double stale = now - heardAt - 2 * media.noteEveryMs();
+        return heardAt <= 0 ? 0 : stale <= 0 ? 1 : Math.exp(-stale / FADE_MS);
+    }
+
+    /** Part asked of the links heard of lately, with a little of the prior; refreshed once a batch. */
     private double averageUse() {
+        if (averagedAt == now) {
+            return average;
+        }
+        averagedAt = now;
         double asked = 0;
         double links = 0;
         double own = 0;
@@ -546,14 +577,13 @@
             if (h.ready) {
                 own += h.ownKb;
                 all += h.link;
-                if (h.heardAt > 0) {
-                    asked += h.ownKb + h.peerKb;
-                    links += h.link;
-                }
+                asked += trust(h.heardAt) * (h.ownKb + h.peerKb);
+                links += trust(h.heardAt) * h.link;
             }
         }
-        return links > 0 ? asked / links
-                : own > 0 ? Math.min(MARK, own * cfg.controllers() / all) : PRIOR_USE;
+        double prior = own > 0 ? Math.min(PRIOR_USE, own * cfg.controllers() / all) : PRIOR_USE;
+        average = all <= 0 ? prior : (asked + PRIOR_WEIGHT * all * prior) / (links + PRIOR_WEIGHT * all);
+        return average;
     }
 
     private double uplinkUse(Rack rack) {
@@ -578,6 +608,9 @@
 
     /** A reading of the link's use, {@code late} ms old; {@code atLeast}: it is capped. */
     private void heard(Server h, double use, double late, double gain, boolean atLeast) {
+        if (now - late < Math.max(h.relievedAt, h.rack.relievedAt) + REACT_MS) {
+            return; // read before the last lowering took effect: says nothing of now
+        }
         double asked = Math.min(MOST_USE, Math.max(0, use)) * h.link;
         double peers = Math.max(0, asked - h.ownAt(now - late));
         if (h.heardAt <= 0) {
@@ -589,6 +622,9 @@
     }
 
     private void heardUplink(Rack rack, double use, double late, double gain) {
+        if (now - late < rack.relievedAt + REACT_MS) {
+            return;
+        }
         double asked = rack.asked(now - late) / Math.max(1, rack.uplinkKb);
         if (asked > 0.05) {
             double bias = Math.max(BIAS_LEAST, Math.min(BIAS_MOST, use / asked));
@@ -632,6 +668,9 @@
             return;
         }
         h.shortAt = now;
+        if (now - media.noteDelayMs() < Math.max(h.relievedAt, h.rack.relievedAt) + 2 * REACT_MS) {
+            return;
+        }
         double asked = Math.min(MOST_USE, 1 / Math.max(0.05, share));
         double explained = Math.max((h.ownAt(now - media.noteDelayMs()) + peerKb(h)) / h.link, uplinkUse(h.rack));
         if (explained >= asked * 0.95) {
@@ -720,8 +759,8 @@
         int playing = sessions.size();
         raiseTokens = Math.min(Math.max(1, playing * 0.05), raiseTokens + RAISE_PACE * playing * s);
         for (Rack rack : racks.values()) {
-            if (!rack.told && rack.bias > 1) {
-                rack.bias = Math.max(1, rack.bias * (1 - BIAS_FALL * s));
+            if (rack.bias > 1 && now - rack.heardAt > CALM_MS + 2 * media.noteEveryMs() * (rack.told ? 1 : 0)) {
+                rack.bias = Math.max(1, rack.bias * (1 - BIAS_FALL * s * (rack.bias > BIAS_USUAL ? 4 : 1)));
             }
         }
         for (Server h : servers.values()) {
