--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -63,6 +63,8 @@
     private static final double BIAS_MOST = 8;
     /** Correction that an uplink may have for good; what is above is trouble that ends, so it falls faster. */
     private static final double BIAS_USUAL = 1.3;
+    /** How much faster. */
+    private static final double BIAS_FAST = 10;
     /** ms for all managers' lowering of rungs to show, beside a note's lateness. */
     private static final double REACT_MS = 400;
     /** ms; how long a lost attempt still counts as load: a hung server must not look emptiest. */
@@ -581,7 +583,11 @@
                 links += trust(h.heardAt) * h.link;
             }
         }
-        double prior = own > 0 ? Math.min(PRIOR_USE, own * cfg.controllers() / all) : PRIOR_USE;
+        double uplinks = media.racks() > 0 && media.uplinkKb() > 0 ? racks.size() * media.uplinkKb() : all;
+        double prior = PRIOR_USE * Math.min(1, uplinks / Math.max(1, all));
+        if (handedOver) {
+            prior = Math.min(prior, own * cfg.controllers() / Math.max(1, all));
+        }
         average = all <= 0 ? prior : (asked + PRIOR_WEIGHT * all * prior) / (links + PRIOR_WEIGHT * all);
         return average;
     }
@@ -759,8 +765,8 @@
         int playing = sessions.size();
         raiseTokens = Math.min(Math.max(1, playing * 0.05), raiseTokens + RAISE_PACE * playing * s);
         for (Rack rack : racks.values()) {
-            if (rack.bias > 1 && now - rack.heardAt > CALM_MS + 2 * media.noteEveryMs() * (rack.told ? 1 : 0)) {
-                rack.bias = Math.max(1, rack.bias * (1 - BIAS_FALL * s * (rack.bias > BIAS_USUAL ? 4 : 1)));
+            if (rack.bias > 1 && now - rack.heardAt > SHORT_FRESH_MS + 2 * media.noteEveryMs() * (rack.told ? 1 : 0)) {
+                rack.bias = Math.max(1, rack.bias * (1 - BIAS_FALL * s * (rack.bias > BIAS_USUAL ? BIAS_FAST : 1)));
             }
         }
         for (Server h : servers.values()) {
