--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -58,6 +58,8 @@
     private static final double SHORT_FRESH_MS = 2200;
     /** Fall per s of a rack's correction while no short delivery is heard and its use is not reported. */
     private static final double BIAS_FALL = 0.01;
+    /** Part asked of an uplink above which whole delivery shows that it carries more than was thought. */
+    private static final double UNTESTED = 0.85;
     /** Bounds of a rack's correction: uplinks differ by a third, troubles divide them by up to eight. */
     private static final double BIAS_LEAST = 0.5;
     private static final double BIAS_MOST = 8;
@@ -765,6 +767,9 @@
         int playing = sessions.size();
         raiseTokens = Math.min(Math.max(1, playing * 0.05), raiseTokens + RAISE_PACE * playing * s);
         for (Rack rack : racks.values()) {
+            if (!rack.told && rack.bias <= 1 && uplinkUse(rack) > UNTESTED && now - rack.heardAt > CALM_MS) {
+                rack.bias = Math.max(BIAS_LEAST, rack.bias * (1 - BIAS_FALL * s));
+            }
             if (rack.bias > 1 && now - rack.heardAt > SHORT_FRESH_MS + 2 * media.noteEveryMs() * (rack.told ? 1 : 0)) {
                 rack.bias = Math.max(1, rack.bias * (1 - BIAS_FALL * s * (rack.bias > BIAS_USUAL ? BIAS_FAST : 1)));
             }
@@ -828,26 +833,37 @@
         return freed;
     }
 
+    /** Lowers playing sessions whose last steps are worth less a kB than the newcomer, if that is enough. */
     private boolean makeRoom(Server h, Session s) {
         double value = density[s.c][s.k.lowestRung()] * s.discount();
         double addedKb = added(h, s, s.k.lowestRung());
+        Rack rack = h.rack;
         double overLink = (use(h) - MARK) * h.link + addedKb;
-        double overUp = h.rack.uplinkKb <= 0 ? 0
-                : (uplinkUse(h.rack) - MARK) * h.rack.uplinkKb / h.rack.bias + addedKb;
-        double can = 0;
-        for (Session other : h.sessions) {
-            for (int r = other.rung; other.playing && r > other.k.lowestRung(); r--) {
-                can += density[other.c][r] * other.discount() < value ? kb[other.c][r] - kb[other.c][r - 1] : 0;
-            }
+        double overUp = rack.uplinkKb <= 0 ? 0 : (uplinkUse(rack) - MARK) * rack.uplinkKb / rack.bias + addedKb;
+        List<Session> all = new ArrayList<>();
+        for (Server other : rack.servers) {
+            all.addAll(other.sessions);
         }
-        double need = Math.max(overLink, overUp);
-        if (can < need) {
+        if (lowerable(h.sessions, value) < overLink || lowerable(all, value) < overUp) {
             return false;
         }
-        lower(new ArrayList<>(h.sessions), need, value);
+        double freed = overLink > 0 ? lower(new ArrayList<>(h.sessions), overLink, value) : 0;
+        if (overUp > freed) {
+            lower(all, overUp - freed, value);
+        }
         return true;
     }
 
+    private double lowerable(Iterable<Session> from, double under) {
+        double can = 0;
+        for (Session s : from) {
+            for (int r = s.rung; s.playing && r > s.k.lowestRung(); r--) {
+                can += density[s.c][r] * s.discount() < under ? kb[s.c][r] - kb[s.c][r - 1] : 0;
+            }
+        }
+        return can;
+    }
+
     /** Raises own sessions to what the price leaves them, sparingly, where room has lasted. */
     private void raise() {
         List<Session> low = new ArrayList<>();
