Module folded; a tenant's worth beyond its share is spread over all its sessions

Which sessions lie beyond a share is told nowhere; marking some by the rate seen here picked them at random.

--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -21,83 +21,48 @@
  * Time comes from events only; equal events give equal actions.
  */
 public final class SessionController {
-    // --- Constants: unit and reason ---
-    /** Part of a link or uplink that set-ups may fill; true rates swing by a tenth about the ladder. */
-    private static final double MARK = 0.90;
-    /** Part asked above which playing sessions are lowered: shortage begins at 1, notes are late. */
-    private static final double SHED = 0.97;
-    /** Part asked under which playing sessions may be raised: well under MARK, or raises would be undone. */
-    private static final double RAISE = 0.80;
-    /** ms; room must have lasted so long since the last lowering before a raise: two rounds of notes. */
-    private static final double CALM_MS = 6000;
-    /** Raises per playing session and second: with lowerings this stays under 3 steps a session-minute. */
-    private static final double RAISE_PACE = 0.02;
-    /** ms between looks at all links; shorter than a note's lateness, so no note waits long. */
-    private static final double TICK_MS = 250;
-    /** Weight of a new note against the estimate: notes carry noise of several per cent. */
-    private static final double NOTE_GAIN = 0.7;
-    /** Weight of an outcome's report: later and noisier than a note. */
-    private static final double REPORT_GAIN = 0.4;
-    /** ms; lateness of a report in an outcome: refreshes and delay are stated nowhere, this is a middle. */
-    private static final double REPORT_LATE_MS = 500;
-    /** Prior part asked of a link while nothing at all has been heard. */
-    private static final double PRIOR_USE = 0.6;
-    /** Weight of the prior against all links heard of: it matters only when next to nothing is heard. */
-    private static final double PRIOR_WEIGHT = 0.05;
-    /** ms in which a reading older than two notes loses two thirds of its say. */
-    private static final double FADE_MS = 4000;
-    /** Highest part asked that is believed; above it a link is hopeless anyway. */
-    private static final double MOST_USE = 3;
-    /** Part per s by which an estimate older than two notes grows: silence makes careful, not blind. */
-    private static final double SILENCE_GROWTH = 0.01;
-    /** Most that silence adds. */
-    private static final double SILENCE_MOST = 0.08;
-    /** Share delivered from which on nothing counts as short (the wire's own figure). */
-    private static final double WHOLE_SHARE = 0.98;
-    /** ms for which a note of short delivery speaks of now: they come once a second. */
-    private static final double SHORT_FRESH_MS = 2200;
-    /** Fall per s of a rack's correction while no short delivery is heard and its use is not reported. */
-    private static final double BIAS_FALL = 0.01;
-    /** Part asked of an uplink above which whole delivery shows that it carries more than was thought. */
-    private static final double UNTESTED = 0.85;
-    /** Bounds of a rack's correction: uplinks differ by a third, troubles divide them by up to eight. */
-    private static final double BIAS_LEAST = 0.5;
-    private static final double BIAS_MOST = 8;
-    /** Correction that an uplink may have for good; what is above is trouble that ends, so it falls faster. */
-    private static final double BIAS_USUAL = 1.3;
-    /** How much faster. */
-    private static final double BIAS_FAST = 10;
-    /** ms for all managers' lowering of rungs to show, beside a note's lateness. */
-    private static final double REACT_MS = 400;
-    /** ms; how long a lost attempt still counts as load: a hung server must not look emptiest. */
-    private static final double LOST_MS = 8000;
-    /** ms; first suspension after a failed set-up; doubles with each further one. */
-    private static final double SUSPEND_MS = 1500;
-    /** Doublings of the suspension at most. */
-    private static final int SUSPEND_DOUBLINGS = 3;
-    /** Part of the listed servers suspended at which suspensions are void: the fault is then elsewhere. */
-    private static final double ALL_BAD = 0.6;
-    /** Part of a cold server's permitted pace that all managers together use. */
-    private static final double COLD_MARGIN = 0.6;
-    /** ms after a start without hand-over in which any server may be cold unknown to this manager. */
-    private static final double BLIND_MS = 4000;
-    /** Attempt's time-out as a part of the class's aim while set-up times are unknown: two fit the aim. */
-    private static final double AIM_PART = 0.45;
-    /** ms; shortest time-out of an attempt. */
-    private static final double LEAST_TIMEOUT_MS = 250;
-    /** Time-out over the usual set-up time, in its mean deviations. */
-    private static final double TIMEOUT_DEVIATIONS = 8;
-    /** ms left before the viewer gives up under which no attempt is worth sending. */
-    private static final double LEAST_LEFT_MS = 100;
-    /** ms; retry-after of a refusal, lowest and spread: about a session's departure at a busy server. */
-    private static final double RETRY_MS = 400;
-    private static final double RETRY_SPREAD_MS = 400;
-    /** ms between calls for the list after a failed one. */
-    private static final double ASK_AGAIN_MS = 1500;
-    /** Imaginary sessions of each class in the price while own ones are few. */
-    private static final double PRIOR_SESSIONS = 1;
-    /** s over which a tenant's rate is averaged. */
-    private static final double TENANT_S = 5;
+    // Constants: each with its unit (parts and counts have none) and its reason.
+    private static final double
+        NEVER = Double.NEGATIVE_INFINITY, // clock time before all others
+        MARK = 0.90, // part of a link or uplink that set-ups may fill; true rates swing about the ladder
+        SHED = 0.97, // part asked above which playing sessions are lowered: shortage begins at 1
+        RAISE = 0.80, // part asked up to which they are raised: well under MARK, or it would be undone
+        CALM_MS = 6000, // ms that room must have lasted before a raise: two rounds of notes
+        RAISE_PACE = 0.02, // raises per session and second: in all under 3 steps a session-minute
+        TICK_MS = 250, // ms between looks at all links: shorter than a note's lateness
+        NOTE_GAIN = 0.7, // weight of a new note: notes carry noise of several per cent
+        REPORT_GAIN = 0.4, // weight of an outcome's report: later and noisier than a note
+        REPORT_LATE_MS = 500, // ms by which such a report is late, about: stated nowhere
+        PRIOR_USE = 0.6, // part asked of a link while nothing at all has been heard
+        PRIOR_WEIGHT = 0.05, // its weight against all links: matters only when next to nothing is heard
+        FADE_MS = 4000, // ms in which a reading older than two notes loses two thirds of its say
+        MOST_USE = 3, // highest part asked that is believed: above it a link is hopeless anyway
+        SILENCE_GROWTH = 0.01, // part a second by which silence raises an estimate: careful, not blind
+        SILENCE_MOST = 0.08, // most that silence adds
+        WHOLE_SHARE = 0.98, // share delivered that counts as whole (the wire's own figure)
+        SHORT_FRESH_MS = 2200, // ms for which a note of short delivery holds: they come once a second
+        BIAS_FALL = 0.01, // fall a second of a rack's correction while nothing short is heard
+        BIAS_FAST = 10, // how much faster it falls above BIAS_USUAL: trouble ends, differences stay
+        BIAS_USUAL = 1.3, // correction that an uplink may have for good: racks differ by a third
+        BIAS_LEAST = 0.5, // least correction of a rack
+        BIAS_MOST = 8, // most: troubles divide uplinks by up to eight
+        UNTESTED = 0.85, // part asked of an uplink above which whole delivery shows that it carries more
+        REACT_MS = 400, // ms for all managers' lowerings to show, beside a note's lateness
+        LOST_MS = 8000, // ms for which a lost attempt counts as load: a hung server must not look empty
+        SUSPEND_MS = 1500, // ms of the first suspension after a failed set-up; doubles with each
+        SUSPEND_DOUBLINGS = 3, // doublings of the suspension at most: trouble lasts seconds
+        ALL_BAD = 0.6, // part of the servers suspended at which suspensions are void: the fault is elsewhere
+        COLD_MARGIN = 0.6, // part of a cold server's permitted pace that all managers together use
+        BLIND_MS = 4000, // ms after a start without hand-over in which any server may be cold unknown to us
+        AIM_PART = 0.45, // first time-outs as a part of the class's aim: two attempts fit in it
+        LEAST_TIMEOUT_MS = 250, // ms; shortest time-out of an attempt
+        TIMEOUT_DEVIATIONS = 8, // time-out over the usual set-up time, in its mean deviations
+        LEAST_LEFT_MS = 100, // ms left to the viewer under which no attempt is worth sending
+        RETRY_MS = 400, // ms; shortest retry-after: about a departure at a busy server
+        RETRY_SPREAD_MS = 400, // ms over which retry-afters spread, so that refused viewers don't come at once
+        ASK_AGAIN_MS = 1500, // ms between calls for the list after a failed one
+        PRIOR_SESSIONS = 1, // sessions of each class under which the price is left at 0: too few to tell
+        TENANT_S = 5; // s over which a tenant's rate is averaged
 
     private final Settings cfg;
     private final Media media;
@@ -109,30 +74,19 @@
     private final Map<String, Integer> seats = new HashMap<>();
     private final ArrayDeque<Double> taken = new ArrayDeque<>();
     private final ArrayDeque<Double> extras = new ArrayDeque<>();
-    private final double[][] kb;
-    private final double[][] density;
-    private final double[] tenantRate;
-    private final double[] tenantAt;
-    private final double meanWorth;
-    private final double cap;
-    private double now;
-    private long listVersion = -1;
-    private double average;
-    private double averagedAt = Double.NEGATIVE_INFINITY;
-    private double price;
-    private double pricedAt = Double.NEGATIVE_INFINITY;
-    private double raiseTokens;
-    private double tickedAt;
-    private double setupMs = -1;
-    private double setupDeviation;
+    private final double[][] kb, density;
+    private final double[] tenantRate, tenantAt;
+    private final double meanWorth, cap;
     private final double startedAt;
+    private double now, average, price, raiseTokens, tickedAt, setupDeviation, setupMs = -1;
+    private double averagedAt = NEVER, pricedAt = NEVER;
+    private long listVersion = -1;
     private boolean handedOver;
 
     /** Starts a controller; {@code seed} feeds its only random source. */
     public SessionController(Settings settings, long seed, double nowMs, Actions actions) {
-        if (settings == null || actions == null) {
+        if (settings == null || actions == null)
             throw new IllegalArgumentException("settings and actions are needed");
-        }
         cfg = settings;
         media = settings.media();
         out = actions;
@@ -141,32 +95,23 @@
         tickedAt = nowMs;
         random = new SplittableRandom(seed);
         int rungs = media.rungKb().size();
-        if (rungs == 0 || media.rungWorth().size() != rungs || cfg.classes().isEmpty()) {
-            throw new IllegalArgumentException("settings need classes and a ladder with a worth for each rung");
-        }
+        if (rungs == 0 || media.rungWorth().size() != rungs || cfg.classes().isEmpty())
+            throw new IllegalArgumentException("settings need classes and a ladder with worths");
         kb = new double[cfg.classes().size()][rungs];
         density = new double[cfg.classes().size()][rungs];
         double worth = 0;
         for (int c = 0; c < kb.length; c++) {
-            for (int r = 0; r < rungs; r++) {
-                kb[c][r] = media.rungKb().get(r) * cfg.classes().get(c).scale();
-            }
-            for (int r = 0; r < rungs; r++) {
-                density[c][r] = slope(c, r);
-            }
+            for (int r = 0; r < rungs; r++) kb[c][r] = media.rungKb().get(r) * cfg.classes().get(c).scale();
+            for (int r = 0; r < rungs; r++) density[c][r] = slope(c, r);
             worth += cfg.classes().get(c).worth() / kb.length;
         }
         meanWorth = worth;
         double streams = 0;
-        for (double kind : media.kindStreams()) {
-            streams += kind / media.kindStreams().size();
-        }
+        for (double kind : media.kindStreams()) streams += kind / media.kindStreams().size();
         cap = streams > 0 ? streams * meanWorth : Double.MAX_VALUE;
         tenantRate = new double[Math.max(1, cfg.tenants().size())];
         tenantAt = new double[tenantRate.length];
-        if (cfg.askForList()) {
-            out.subscribe();
-        }
+        if (cfg.askForList()) out.subscribe();
         out.timer(TICK_MS * (0.5 + random.nextDouble()), "tick");
     }
 
@@ -218,18 +163,16 @@
         check(e);
         taken.addLast(now);
         Session s = new Session(e);
-        s.weight = worthOf(e);
+        countTenant(e);
         sessions.put(e.id(), s);
         place(s);
     }
 
     private void check(Request e) {
-        if (e.sessionClass() >= cfg.classes().size()) {
+        if (e.sessionClass() >= cfg.classes().size())
             throw new IllegalArgumentException("class " + e.sessionClass() + " is not in the settings");
-        }
-        if (sessions.containsKey(e.id())) {
+        if (sessions.containsKey(e.id()))
             throw new IllegalArgumentException("request " + e.id() + " is known already");
-        }
     }
 
     /** Sends the session to a server, or answers it at once. */
@@ -245,9 +188,7 @@
             answer(s);
             return;
         }
-        if (!first) {
-            extras.addLast(now);
-        }
+        if (!first) extras.addLast(now);
         double timeout = Math.min(left, timeout(s));
         s.server = h;
         s.sentAt = now;
@@ -273,25 +214,13 @@
 
     /** Rules 2 and 6: a further attempt only where none can have run, and within sendCap and the budget. */
     private boolean mayRepeat(Session s) {
-        if (cfg.limits().attempts() > 0 && s.attempts >= cfg.limits().attempts()) {
-            return false;
-        }
-        if (s.mayHaveRun && s.k.effect() == Effect.SIDE_EFFECT) {
-            return false;
-        }
-        if (s.mayHaveRun && s.k.effect() == Effect.TOKEN && now - s.tokenAt >= s.k.tokenMs()) {
-            return false;
-        }
-        if (cfg.rules().extraFree() < 0) {
-            return true;
-        }
+        if (cfg.limits().attempts() > 0 && s.attempts >= cfg.limits().attempts()) return false;
+        boolean expired = s.k.effect() == Effect.TOKEN && now - s.tokenAt >= s.k.tokenMs();
+        if (s.mayHaveRun && (s.k.effect() == Effect.SIDE_EFFECT || expired)) return false;
+        if (cfg.rules().extraFree() < 0) return true;
         double from = now - cfg.rules().extraWindowMs();
-        while (!extras.isEmpty() && extras.peekFirst() < from) {
-            extras.removeFirst();
-        }
-        while (!taken.isEmpty() && taken.peekFirst() <= from) {
-            taken.removeFirst();
-        }
+        while (!extras.isEmpty() && extras.peekFirst() < from) extras.removeFirst();
+        while (!taken.isEmpty() && taken.peekFirst() <= from) taken.removeFirst();
         return extras.size() + 1 <= cfg.rules().extraFree() + cfg.rules().extraRatio() * taken.size();
     }
 
@@ -315,9 +244,7 @@
 
     private void onStarted(Started e) {
         Session s = sessions.get(e.id());
-        if (s == null || s.server == null) {
-            return;
-        }
+        if (s == null || s.server == null) return;
         Server h = s.server;
         s.playing = true;
         s.startedAt = now;
@@ -337,7 +264,6 @@
         handedOver = true;
         Server h = server(e.server());
         Session s = new Session(e.request());
-        s.weight = s.k.worth();
         s.server = h;
         s.playing = true;
         s.attempts = 1;
@@ -355,17 +281,13 @@
         if (known) {
             count(s, -1);
             s.server = null;
-            if (!s.playing) {
-                h.out--;
-            }
+            if (!s.playing) h.out--;
         }
         if (h != null) {
             report(h, e.load());
             judge(h, e.outcome(), s != null && s.playing);
         }
-        if (!known) {
-            return;
-        }
+        if (!known) return;
         if (!e.outcome().provesUnrun() && !s.mayHaveRun) {
             s.mayHaveRun = true;
             s.tokenServer = h;
@@ -380,17 +302,13 @@
 
     private void onDeparted(Departed e) {
         Session s = sessions.get(e.id());
-        if (s == null) {
-            return;
-        }
+        if (s == null) return;
         if (s.server == null) {
             sessions.remove(e.id());
             return;
         }
         s.departed = true;
-        if (!s.playing && cfg.limits().cancel()) {
-            out.cancel(e.id(), s.attempts - 1);
-        }
+        if (!s.playing && cfg.limits().cancel()) out.cancel(e.id(), s.attempts - 1);
     }
 
     // --- Choice: steps 2, 3 and 5 of the design ---
@@ -399,19 +317,15 @@
         reprice();
         List<Server> holders = new ArrayList<>();
         for (Server h : servers.values()) {
-            if (h.ready && holds(h, s.request) && !s.tried.contains(h.id) && groupAllows(s, h) && paceAllows(h)) {
-                holders.add(h);
-            }
+            boolean open = h.ready && holds(h, s.request) && !s.tried.contains(h.id);
+            if (open && groupAllows(s, h) && paceAllows(h)) holders.add(h);
         }
         List<Server> healthy = new ArrayList<>(holders);
         healthy.removeIf(h -> !healthy(h));
-        if (!healthy.isEmpty() || !manyBad()) {
-            holders = healthy;
-        }
+        if (!healthy.isEmpty() || !manyBad()) holders = healthy;
         holders.removeIf(h -> load(h, s) / capacity(h) > cap);
-        if (cfg.zoneCost() > 0 && holders.stream().anyMatch(h -> h.zone == cfg.zone())) {
+        if (cfg.zoneCost() > 0 && holders.stream().anyMatch(h -> h.zone == cfg.zone()))
             holders.removeIf(h -> h.zone != cfg.zone());
-        }
         int want = wanted(s);
         Server best = null;
         double bestShare = 0;
@@ -419,10 +333,8 @@
         for (int pass = 0; pass < 2 && best == null; pass++) {
             for (Server h : holders) {
                 boolean fits = pass == 0 ? fits(h, added(h, s, want)) : fitting(h, s, want) >= 0;
-                if (!fits) {
-                    continue;
-                }
-                double share = capacity(h) * s.weight / load(h, s);
+                if (!fits) continue;
+                double share = capacity(h) * s.k.worth() / load(h, s);
                 ties = share == bestShare ? ties + 1 : 1;
                 if (share > bestShare || share == bestShare && random.nextInt(ties) == 0) {
                     best = h;
@@ -435,7 +347,7 @@
             return best;
         }
         // No rung fits: lower playing sessions of less worth per kB, if one holder's room can be made so.
-        holders.sort(Comparator.comparingDouble((Server h) -> -capacity(h) * s.weight / load(h, s)));
+        holders.sort(Comparator.comparingDouble((Server h) -> -capacity(h) * s.k.worth() / load(h, s)));
         for (Server h : holders) {
             if (makeRoom(h, s)) {
                 s.rung = s.k.lowestRung();
@@ -451,9 +363,8 @@
     }
 
     private boolean groupAllows(Session s, Server h) {
-        if (!s.mayHaveRun || s.k.effect() != Effect.TOKEN || s.k.group() == Group.ALL || s.tokenServer == null) {
-            return true;
-        }
+        boolean bound = s.mayHaveRun && s.k.effect() == Effect.TOKEN && s.tokenServer != null;
+        if (!bound || s.k.group() == Group.ALL) return true;
         return s.k.group() == Group.ZONE ? h.zone == s.tokenServer.zone : h.cell == s.tokenServer.cell;
     }
 
@@ -464,16 +375,12 @@
     private boolean paceAllows(Server h) {
         double warm = cfg.rules().warmAfterMs();
         boolean cold = now - h.coldSince < warm;
-        if (!cold && (handedOver || now - startedAt >= BLIND_MS)) {
-            return true;
-        }
+        if (!cold && (handedOver || now - startedAt >= BLIND_MS)) return true;
         double streams = h.kind < media.kindStreams().size() ? media.kindStreams().get(h.kind) : 1;
         double perMs = COLD_MARGIN * cfg.rules().tipMultiple() * cfg.rules().coldFrom() * streams / warm;
         double turn = 1 / perMs;
         double round = turn * Math.max(1, cfg.controllers());
-        if (!cold) {
-            return now - h.lastSent > round;
-        }
+        if (!cold) return now - h.lastSent > round;
         double phase = Math.IEEEremainder(now - turn * cfg.self(), round);
         phase = phase < 0 ? phase + round : phase;
         return phase < turn / 2 && now - h.lastSent > turn / 2;
@@ -481,9 +388,7 @@
 
     /** Step 2: the weighted count with the newcomer, and with attempts lost of late. */
     private double load(Server h, Session s) {
-        while (!h.lost.isEmpty() && now - h.lost.peekFirst() > LOST_MS) {
-            h.lost.removeFirst();
-        }
+        while (!h.lost.isEmpty() && now - h.lost.peekFirst() > LOST_MS) h.lost.removeFirst();
         double mean = h.ownKb > 0 && h.sessions.size() > 2 ? h.ownKb / h.sessions.size() : meanKb();
         double peers = h.peerStreams >= 0 ? h.peerStreams : peerKb(h) / mean;
         return h.ownWeight + (peers + h.lost.size()) * meanWorth + s.k.worth();
@@ -516,18 +421,12 @@
     private int wanted(Session s) {
         int rung = s.k.lowestRung();
         int top = Math.min(s.request.top(), Math.min(s.k.highestRung(), media.rungKb().size() - 1));
-        while (rung < top && density[s.c][rung + 1] * s.discount() >= price) {
-            rung++;
-        }
+        while (rung < top && density[s.c][rung + 1] * s.discount() >= price) rung++;
         return rung;
     }
 
     private int fitting(Server h, Session s, int want) {
-        for (int rung = want; rung >= s.k.lowestRung(); rung--) {
-            if (fits(h, added(h, s, rung))) {
-                return rung;
-            }
-        }
+        for (int rung = want; rung >= s.k.lowestRung(); rung--)  if (fits(h, added(h, s, rung))) return rung;
         return -1;
     }
 
@@ -546,9 +445,8 @@
     private double use(Server h) {
         double use = (h.ownKb + peerKb(h)) / h.link;
         double silent = (now - h.heardAt - 2 * media.noteEveryMs()) / 1000;
-        if (media.noteEveryMs() > 0 && silent > 0 && h.heardAt > 0) {
+        if (media.noteEveryMs() > 0 && silent > 0 && h.heardAt > 0)
             use += Math.min(SILENCE_MOST, SILENCE_GROWTH * silent);
-        }
         return use;
     }
 
@@ -569,9 +467,7 @@
 
     /** Part asked of the links heard of lately, with a little of the prior; refreshed once a batch. */
     private double averageUse() {
-        if (averagedAt == now) {
-            return average;
-        }
+        if (averagedAt == now) return average;
         averagedAt = now;
         double asked = 0;
         double links = 0;
@@ -587,9 +483,7 @@
         }
         double uplinks = media.racks() > 0 && media.uplinkKb() > 0 ? racks.size() * media.uplinkKb() : all;
         double prior = PRIOR_USE * Math.min(1, uplinks / Math.max(1, all));
-        if (handedOver) {
-            prior = Math.min(prior, own * cfg.controllers() / Math.max(1, all));
-        }
+        if (handedOver) prior = Math.min(prior, own * cfg.controllers() / Math.max(1, all));
         average = all <= 0 ? prior : (asked + PRIOR_WEIGHT * all * prior) / (links + PRIOR_WEIGHT * all);
         return average;
     }
@@ -599,19 +493,12 @@
     }
 
     private void report(Server h, Map<String, Double> load) {
-        if (load.isEmpty()) {
-            return;
-        }
+        if (load.isEmpty()) return;
         Double use = load.containsKey("x0") ? load.get("x0") : load.get("util");
-        if (use != null) {
-            heard(h, use, REPORT_LATE_MS, REPORT_GAIN, !load.containsKey("x0") && use >= 0.995);
-        }
-        if (load.containsKey("inflight")) {
+        if (use != null) heard(h, use, REPORT_LATE_MS, REPORT_GAIN, !load.containsKey("x0") && use >= 0.995);
+        if (load.containsKey("inflight"))
             h.peerStreams = Math.max(0, load.get("inflight") - h.sessions.size());
-        }
-        if (load.containsKey("x1")) {
-            heardUplink(h.rack, load.get("x1"), REPORT_LATE_MS, REPORT_GAIN);
-        }
+        if (load.containsKey("x1")) heardUplink(h.rack, load.get("x1"), REPORT_LATE_MS, REPORT_GAIN);
     }
 
     /** A reading of the link's use, {@code late} ms old; {@code atLeast}: it is capped. */
@@ -630,9 +517,7 @@
     }
 
     private void heardUplink(Rack rack, double use, double late, double gain) {
-        if (now - late < rack.relievedAt + REACT_MS) {
-            return;
-        }
+        if (now - late < rack.relievedAt + REACT_MS) return;
         double asked = rack.asked(now - late) / Math.max(1, rack.uplinkKb);
         if (asked > 0.05) {
             double bias = Math.max(BIAS_LEAST, Math.min(BIAS_MOST, use / asked));
@@ -645,9 +530,7 @@
     private void onNote(Note e) {
         Session s = sessions.get(e.id());
         Server h = servers.get(e.server());
-        if (h == null) {
-            return;
-        }
+        if (h == null) return;
         boolean fresh = s != null && now - s.startedAt < media.noteDelayMs() / 2 && s.attempts > 0;
         switch (e.kind()) {
             case RUNG -> {
@@ -669,28 +552,23 @@
         relieve(h);
     }
 
-    /** A note of short delivery raises the estimate of what is short: the uplink if the rack is, else the link. */
+    /** Short delivery raises the estimate of what is short: the uplink if the rack is, else the link. */
     private void shortDelivery(Server h, double share) {
         if (share >= WHOLE_SHARE) {
-            h.shortAt = Double.NEGATIVE_INFINITY;
+            h.shortAt = NEVER;
             return;
         }
         h.shortAt = now;
-        if (now - media.noteDelayMs() < Math.max(h.relievedAt, h.rack.relievedAt) + 2 * REACT_MS) {
-            return;
-        }
+        if (now - media.noteDelayMs() < Math.max(h.relievedAt, h.rack.relievedAt) + 2 * REACT_MS) return;
         double asked = Math.min(MOST_USE, 1 / Math.max(0.05, share));
-        double explained = Math.max((h.ownAt(now - media.noteDelayMs()) + peerKb(h)) / h.link, uplinkUse(h.rack));
-        if (explained >= asked * 0.95) {
-            return;
-        }
+        double own = h.ownAt(now - media.noteDelayMs());
+        double explained = Math.max((own + peerKb(h)) / h.link, uplinkUse(h.rack));
+        if (explained >= asked * 0.95) return;
         int near = 0;
-        for (Server other : h.rack.servers) {
-            near += now - other.shortAt < SHORT_FRESH_MS ? 1 : 0;
-        }
+        for (Server other : h.rack.servers) near += now - other.shortAt < SHORT_FRESH_MS ? 1 : 0;
         if (near >= 2 && h.rack.uplinkKb > 0 && !h.rack.told) {
             double bias = asked * h.rack.uplinkKb / Math.max(1, h.rack.asked(now));
-            h.rack.bias = Math.min(BIAS_MOST, Math.max(h.rack.bias, h.rack.bias + 0.5 * (bias - h.rack.bias)));
+            h.rack.bias = Math.min(BIAS_MOST, h.rack.bias + 0.5 * Math.max(0, bias - h.rack.bias));
             h.rack.heardAt = now;
         } else {
             h.peerKb = Math.max(h.peerKb, asked * h.link - h.ownKb);
@@ -702,9 +580,7 @@
 
     /** The price of a kB: what own sessions' steps must be worth for all own demand to keep its share. */
     private void reprice() {
-        if (now - pricedAt < TICK_MS) {
-            return;
-        }
+        if (now - pricedAt < TICK_MS) return;
         pricedAt = now;
         double target = 0;
         for (Rack rack : racks.values()) {
@@ -729,20 +605,15 @@
             prior += PRIOR_SESSIONS * kb[c][k.lowestRung()];
         }
         for (Session s : sessions.values()) {
-            if (s.server == null) {
-                continue;
-            }
+            if (s.server == null) continue;
             base += kb[s.c][s.k.lowestRung()];
             int top = Math.min(s.request.top(), Math.min(s.k.highestRung(), kb[s.c].length - 1));
-            for (int r = s.k.lowestRung() + 1; r <= top; r++) {
+            for (int r = s.k.lowestRung() + 1; r <= top; r++)
                 steps.merge(density[s.c][r] * s.discount(), kb[s.c][r] - kb[s.c][r - 1], Double::sum);
-            }
         }
         double used = base;
         price = 0;
-        if (base <= prior) {
-            return;
-        }
+        if (base <= prior) return;
         for (Map.Entry<Double, Double> step : steps.entrySet()) {
             used += step.getValue();
             if (used > target) {
@@ -757,9 +628,7 @@
             out.subscribe();
             return;
         }
-        if (!e.name().equals("tick")) {
-            return;
-        }
+        if (!e.name().equals("tick")) return;
         double s = (now - tickedAt) / 1000;
         tickedAt = now;
         out.timer(TICK_MS * (0.8 + 0.4 * random.nextDouble()), "tick");
@@ -767,16 +636,13 @@
         int playing = sessions.size();
         raiseTokens = Math.min(Math.max(1, playing * 0.05), raiseTokens + RAISE_PACE * playing * s);
         for (Rack rack : racks.values()) {
-            if (!rack.told && rack.bias <= 1 && uplinkUse(rack) > UNTESTED && now - rack.heardAt > CALM_MS) {
-                rack.bias = Math.max(BIAS_LEAST, rack.bias * (1 - BIAS_FALL * s));
-            }
-            if (rack.bias > 1 && now - rack.heardAt > SHORT_FRESH_MS + 2 * media.noteEveryMs() * (rack.told ? 1 : 0)) {
-                rack.bias = Math.max(1, rack.bias * (1 - BIAS_FALL * s * (rack.bias > BIAS_USUAL ? BIAS_FAST : 1)));
-            }
-        }
-        for (Server h : servers.values()) {
-            relieve(h);
+            double quiet = now - rack.heardAt - (rack.told ? 2 * media.noteEveryMs() : 0);
+            double pace = rack.bias > BIAS_USUAL ? BIAS_FAST : 1;
+            boolean untested = !rack.told && quiet > CALM_MS && uplinkUse(rack) > UNTESTED;
+            if (rack.bias > 1 && quiet > SHORT_FRESH_MS || untested)
+                rack.bias = Math.max(untested ? BIAS_LEAST : 1, rack.bias * (1 - BIAS_FALL * s * pace));
         }
+        for (Server h : servers.values()) relieve(h);
         raise();
     }
 
@@ -819,17 +685,13 @@
                     worst = s;
                 }
             }
-            if (worst == null) {
-                break;
-            }
+            if (worst == null) break;
             double before = worst.server.ownKb;
             shift(worst, worst.rung - 1);
             changed.add(worst);
             freed += before - worst.server.ownKb;
         }
-        for (Session s : changed) {
-            out.rung(s.request.id(), s.rung);
-        }
+        for (Session s : changed) out.rung(s.request.id(), s.rung);
         return freed;
     }
 
@@ -839,27 +701,21 @@
         double addedKb = added(h, s, s.k.lowestRung());
         Rack rack = h.rack;
         double overLink = (use(h) - MARK) * h.link + addedKb;
-        double overUp = rack.uplinkKb <= 0 ? 0 : (uplinkUse(rack) - MARK) * rack.uplinkKb / rack.bias + addedKb;
+        double overUp = rack.uplinkKb <= 0 ? 0
+                : (uplinkUse(rack) - MARK) * rack.uplinkKb / rack.bias + addedKb;
         List<Session> all = new ArrayList<>();
-        for (Server other : rack.servers) {
-            all.addAll(other.sessions);
-        }
-        if (lowerable(h.sessions, value) < overLink || lowerable(all, value) < overUp) {
-            return false;
-        }
+        for (Server other : rack.servers) all.addAll(other.sessions);
+        if (lowerable(h.sessions, value) < overLink || lowerable(all, value) < overUp) return false;
         double freed = overLink > 0 ? lower(new ArrayList<>(h.sessions), overLink, value) : 0;
-        if (overUp > freed) {
-            lower(all, overUp - freed, value);
-        }
+        if (overUp > freed) lower(all, overUp - freed, value);
         return true;
     }
 
     private double lowerable(Iterable<Session> from, double under) {
         double can = 0;
         for (Session s : from) {
-            for (int r = s.rung; s.playing && r > s.k.lowestRung(); r--) {
+            for (int r = s.rung; s.playing && r > s.k.lowestRung(); r--)
                 can += density[s.c][r] * s.discount() < under ? kb[s.c][r] - kb[s.c][r - 1] : 0;
-            }
         }
         return can;
     }
@@ -868,16 +724,13 @@
     private void raise() {
         List<Session> low = new ArrayList<>();
         for (Session s : sessions.values()) {
-            if (s.playing && s.rung < wanted(s) && now - s.changedAt > CALM_MS && now - s.startedAt > CALM_MS / 2
-                    && now - s.server.relievedAt > CALM_MS && now - s.server.rack.relievedAt > CALM_MS) {
-                low.add(s);
-            }
+            double last = !s.playing ? now : Math.max(Math.max(s.changedAt, s.startedAt),
+                    Math.max(s.server.relievedAt, s.server.rack.relievedAt));
+            if (now - last > CALM_MS && s.rung < wanted(s)) low.add(s);
         }
         low.sort(Comparator.comparingDouble(s -> -density[s.c][s.rung + 1] * s.discount()));
         for (Session s : low) {
-            if (raiseTokens < 1) {
-                return;
-            }
+            if (raiseTokens < 1) return;
             double more = kb[s.c][s.rung + 1] - kb[s.c][s.rung];
             if (use(s.server) + more / s.server.link <= RAISE
                     && uplinkUse(s.server.rack) + s.server.rack.part(more) <= RAISE) {
@@ -940,9 +793,9 @@
     private void strike(Server h) {
         if (now > h.struckAt) {
             h.struckAt = now;
-            h.strikes = Math.min(h.strikes + 1, 2 + SUSPEND_DOUBLINGS);
+            h.strikes = Math.min(h.strikes + 1, 2 + (int) SUSPEND_DOUBLINGS);
         }
-        double length = SUSPEND_MS * (1 << Math.min(SUSPEND_DOUBLINGS, h.strikes - 1));
+        double length = SUSPEND_MS * (1 << (int) Math.min(SUSPEND_DOUBLINGS, h.strikes - 1));
         h.suspendedUntil = Math.max(h.suspendedUntil, now + length);
     }
 
@@ -958,9 +811,7 @@
 
     private void onList(ServerList e) {
         if (e.scope() == ListScope.FAILED) {
-            if (cfg.askForList()) {
-                out.timer(ASK_AGAIN_MS * (1 + random.nextDouble()), "list");
-            }
+            if (cfg.askForList()) out.timer(ASK_AGAIN_MS * (1 + random.nextDouble()), "list");
             return;
         }
         boolean older = e.version() < listVersion;
@@ -970,14 +821,10 @@
             named.add(entry.server());
             Server h = server(entry.server());
             boolean newStart = entry.startedMs() > h.coldSince;
-            if (newStart) {
-                h.coldSince = entry.startedMs();
-            }
+            if (newStart) h.coldSince = entry.startedMs();
             // an older list may take a server away, never bring one back
             boolean ready = entry.state() == ServerState.READY;
-            if (!older || !ready || newStart || !h.listed) {
-                h.ready = ready;
-            }
+            if (!older || !ready || newStart || !h.listed) h.ready = ready;
             h.listed = true;
             h.kind = entry.kind();
             h.zone = entry.zone();
@@ -985,11 +832,8 @@
             h.link = Math.max(1, media.linkKbPerWeight() * (entry.weight() > 0 ? entry.weight() : 1));
             rackOf(h, media.racks() > 0 ? entry.cell() % media.racks() : 0);
         }
-        if (e.scope() != ListScope.CHANGES) {
-            for (Server h : servers.values()) {
-                h.ready &= named.contains(h.id);
-            }
-        }
+        if (e.scope() != ListScope.CHANGES)
+             for (Server h : servers.values()) h.ready &= named.contains(h.id);
     }
 
     private Server server(long id) {
@@ -1006,9 +850,7 @@
     private void rackOf(Server h, int number) {
         Rack rack = racks.computeIfAbsent(number, n -> new Rack(media.racks() > 0 ? media.uplinkKb() : 0));
         if (h.rack != rack) {
-            if (h.rack != null) {
-                h.rack.servers.remove(h);
-            }
+            if (h.rack != null) h.rack.servers.remove(h);
             h.rack = rack;
             rack.servers.add(h);
         }
@@ -1025,32 +867,34 @@
         boolean joins = key != null && (sign > 0 ? sharing > 0 : sharing > 1);
         h.ownKb = Math.max(0, h.ownKb + sign * kb[s.c][s.rung] * (joins ? media.join() : 1));
         h.ownWeight = Math.max(0, h.ownWeight + sign * s.k.worth());
-        if (key != null) {
-            h.streams.merge(key, sign, Integer::sum);
-        }
+        if (key != null) h.streams.merge(key, sign, Integer::sum);
         if (sign > 0) {
             h.sessions.add(s);
         } else {
             h.sessions.remove(s);
         }
-        if (s.k.seats() > 0) {
-            seats.merge(s.seatKey(), sign, Integer::sum);
-        }
+        if (s.k.seats() > 0) seats.merge(s.seatKey(), sign, Integer::sum);
         h.remember(now, h.ownKb - before);
     }
 
-    /** The worth of a request: less beyond its tenant's share, by the rate seen here. */
-    private double worthOf(Request e) {
-        double worth = cfg.classes().get(e.sessionClass()).worth();
-        if (cfg.tenants().isEmpty() || e.tenant() >= cfg.tenants().size()) {
-            return worth;
-        }
-        int t = e.tenant();
-        double kept = Math.exp(-(now - tenantAt[t]) / 1000 / TENANT_S);
-        tenantRate[t] = tenantRate[t] * kept + 1 / TENANT_S;
-        tenantAt[t] = now;
-        double quota = cfg.tenants().get(t).quotaPerSecond() / Math.max(1, cfg.controllers());
-        return quota > 0 && tenantRate[t] > quota * 1.2 ? worth * cfg.overShareWorth() : worth;
+    /** Counts a new viewer against its tenant's share; returns and repeats belong to their first try. */
+    private void countTenant(Request e) {
+        if (e.tenant() >= tenantRate.length || e.retry() || e.returning() || e.moved()) return;
+        double kept = Math.exp(-(now - tenantAt[e.tenant()]) / 1000 / TENANT_S);
+        tenantRate[e.tenant()] = tenantRate[e.tenant()] * kept + 1 / TENANT_S;
+        tenantAt[e.tenant()] = now;
+    }
+
+    /**
+     * What a tenant's sessions are worth on average, as a part of the class's worth: which of them lie beyond
+     * its share is told nowhere, so all are taken alike.
+     */
+    private double tenantWorth(int tenant) {
+        if (tenant >= cfg.tenants().size()) return 1;
+        double quota = cfg.tenants().get(tenant).quotaPerSecond() / Math.max(1, cfg.controllers());
+        double rate = tenantRate[tenant] * Math.exp(-(now - tenantAt[tenant]) / 1000 / TENANT_S);
+        double inside = quota <= 0 || rate <= quota ? 1 : quota / rate;
+        return inside + cfg.overShareWorth() * (1 - inside);
     }
 
     /** One request, from its arrival to its end. */
@@ -1059,19 +903,11 @@
         final int c;
         final SessionClass k;
         final Set<Long> tried = new HashSet<>();
-        double weight;
         Server server;
         Server tokenServer;
-        double tokenAt;
-        double sentAt;
-        double startedAt;
-        double changedAt = Double.NEGATIVE_INFINITY;
-        int attempts;
-        int rung;
-        boolean rungSent;
-        boolean playing;
-        boolean mayHaveRun;
-        boolean departed;
+        double tokenAt, sentAt, startedAt, changedAt = NEVER;
+        int attempts, rung;
+        boolean rungSent, playing, mayHaveRun, departed;
 
         Session(Request request) {
             this.request = request;
@@ -1080,7 +916,7 @@
         }
 
         double discount() {
-            return weight / k.worth();
+            return tenantWorth(request.tenant());
         }
 
         /** Worth per kB of the step that it stands on. */
@@ -1105,25 +941,12 @@
         final ArrayDeque<Double> lost = new ArrayDeque<>();
         final ArrayDeque<double[]> changes = new ArrayDeque<>();
         Rack rack;
-        boolean listed;
-        boolean ready;
-        int kind;
-        int zone;
-        int cell;
-        int out;
-        int strikes;
-        double link;
-        double ownKb;
-        double ownWeight;
-        double peerKb;
-        double peerStreams = -1;
-        double heardAt;
-        double shortAt = Double.NEGATIVE_INFINITY;
-        double struckAt = Double.NEGATIVE_INFINITY;
-        double suspendedUntil = Double.NEGATIVE_INFINITY;
-        double coldSince = Double.NEGATIVE_INFINITY;
-        double lastSent = Double.NEGATIVE_INFINITY;
-        double relievedAt = Double.NEGATIVE_INFINITY;
+        boolean listed, ready;
+        int kind, zone, cell, out, strikes;
+        double link, ownKb, ownWeight, peerKb, peerStreams = -1, heardAt, shortAt = NEVER;
+        double struckAt = NEVER, suspendedUntil = NEVER;
+        double coldSince = NEVER, lastSent = NEVER;
+        double relievedAt = NEVER;
 
         Server(long id) {
             this.id = id;
@@ -1131,17 +954,13 @@
 
         void remember(double at, double change) {
             changes.addLast(new double[] {at, change});
-            while (changes.peekFirst()[0] < at - 6000) {
-                changes.removeFirst();
-            }
+            while (changes.peekFirst()[0] < at - 6000) changes.removeFirst();
         }
 
         /** Own demand at an earlier time: readings are late. */
         double ownAt(double at) {
             double own = ownKb;
-            for (double[] change : changes) {
-                own -= change[0] > at ? change[1] : 0;
-            }
+            for (double[] change : changes) own -= change[0] > at ? change[1] : 0;
             return Math.max(0, own);
         }
     }
@@ -1152,8 +971,7 @@
         final double uplinkKb;
         double bias = 1;
         boolean told;
-        double heardAt;
-        double relievedAt = Double.NEGATIVE_INFINITY;
+        double heardAt, relievedAt = NEVER;
 
         Rack(double uplinkKb) {
             this.uplinkKb = uplinkKb;
@@ -1161,9 +979,7 @@
 
         double asked(double at) {
             double asked = 0;
-            for (Server h : servers) {
-                asked += h.ready || h.ownKb > 0 ? h.ownAt(at) + peerKb(h) : 0;
-            }
+            for (Server h : servers) asked += h.ready || h.ownKb > 0 ? h.ownAt(at) + peerKb(h) : 0;
             return asked;
         }
 
