--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -59,7 +59,7 @@
         TIMEOUT_DEVIATIONS = 8, // time-out over the usual set-up time, in its mean deviations
         LEAST_LEFT_MS = 100, // ms left to the viewer under which no attempt is worth sending
         RETRY_MS = 400, // ms; shortest retry-after: about a departure at a busy server
-        RETRY_SPREAD_MS = 400, // ms over which retry-afters spread, so that refused viewers don't come at once
+        RETRY_SPREAD_MS = 400, // ms over which retry-afters spread, so that refused viewers come apart
         ASK_AGAIN_MS = 1500, // ms between calls for the list after a failed one
         PRIOR_SESSIONS = 1, // sessions of each class under which the price is left at 0: too few to tell
         TENANT_S = 5; // s over which a tenant's rate is averaged
@@ -134,27 +134,16 @@
     /** Takes one event; the actions it leads to have been called when this returns. */
     public void handle(double nowMs, Event event) {
         now = nowMs;
-        if (event instanceof Request e) {
-            onRequest(e);
-        } else if (event instanceof Takeover e) {
-            onTakeover(e);
-        } else if (event instanceof Started e) {
-            onStarted(e);
-        } else if (event instanceof AttemptEnded e) {
-            onEnded(e);
-        } else if (event instanceof Note e) {
-            onNote(e);
-        } else if (event instanceof Departed e) {
-            onDeparted(e);
-        } else if (event instanceof ServerList e) {
-            onList(e);
-        } else if (event instanceof ProbeEnded e) {
-            onProbe(e);
-        } else if (event instanceof TimerFired e) {
-            onTimer(e);
-        } else if (!(event instanceof PeerMessage)) {
-            throw new IllegalArgumentException("an event is needed");
-        }
+        if (event instanceof Request e) onRequest(e);
+        else if (event instanceof Takeover e) onTakeover(e);
+        else if (event instanceof Started e) onStarted(e);
+        else if (event instanceof AttemptEnded e) onEnded(e);
+        else if (event instanceof Note e) onNote(e);
+        else if (event instanceof Departed e) onDeparted(e);
+        else if (event instanceof ServerList e) onList(e);
+        else if (event instanceof ProbeEnded e) onProbe(e);
+        else if (event instanceof TimerFired e) onTimer(e);
+        else if (!(event instanceof PeerMessage)) throw new IllegalArgumentException("an event is needed");
     }
 
     // --- Requests and attempts ---
@@ -179,11 +168,8 @@
     private void place(Session s) {
         boolean first = s.attempts == 0;
         double left = s.request.giveUpMs() - now;
-        if (left < LEAST_LEFT_MS || !first && !mayRepeat(s) || !seatFree(s)) {
-            answer(s);
-            return;
-        }
-        Server h = choose(s);
+        boolean allowed = left >= LEAST_LEFT_MS && (first || mayRepeat(s)) && seatFree(s);
+        Server h = allowed ? choose(s) : null;
         if (h == null) {
             answer(s);
             return;
@@ -197,12 +183,8 @@
         h.lastSent = now;
         h.out++;
         count(s, +1);
-        if (s.rung != s.k.lowestRung()) {
-            out.rung(s.request.id(), s.rung);
-            s.rungSent = true;
-        } else if (s.rungSent) {
-            out.rung(s.request.id(), s.rung);
-        }
+        if (s.rungSent || s.rung != s.k.lowestRung()) out.rung(s.request.id(), s.rung);
+        s.rungSent |= s.rung != s.k.lowestRung();
         out.attempt(s.request.id(), h.id, timeout);
     }
 
@@ -285,7 +267,7 @@
         }
         if (h != null) {
             report(h, e.load());
-            judge(h, e.outcome(), s != null && s.playing);
+            judge(h, e.outcome());
         }
         if (!known) return;
         if (!e.outcome().provesUnrun() && !s.mayHaveRun) {
@@ -293,11 +275,8 @@
             s.tokenServer = h;
             s.tokenAt = s.sentAt;
         }
-        if (s.playing || s.departed || e.closed()) {
-            sessions.remove(e.id());
-        } else {
-            place(s);
-        }
+        if (s.playing || s.departed || e.closed()) sessions.remove(e.id());
+        else place(s);
     }
 
     private void onDeparted(Departed e) {
@@ -406,15 +385,12 @@
 
     /** C_h: the link over the mean link. */
     private double capacity(Server h) {
-        double sum = 0;
-        int n = 0;
+        double sum = 0, n = 0;
         for (Server other : servers.values()) {
-            if (other.ready) {
-                sum += other.link;
-                n++;
-            }
+            sum += other.ready ? other.link : 0;
+            n += other.ready ? 1 : 0;
         }
-        return n == 0 || sum <= 0 ? 1 : h.link / (sum / n);
+        return sum <= 0 ? 1 : h.link * n / sum;
     }
 
     /** The rung that the present price leaves the viewer: the top one while room is not scarce. */
@@ -426,8 +402,9 @@
     }
 
     private int fitting(Server h, Session s, int want) {
-        for (int rung = want; rung >= s.k.lowestRung(); rung--)  if (fits(h, added(h, s, rung))) return rung;
-        return -1;
+        int rung = want;
+        while (rung >= s.k.lowestRung() && !fits(h, added(h, s, rung))) rung--;
+        return rung >= s.k.lowestRung() ? rung : -1;
     }
 
     private double added(Server h, Session s, int rung) {
@@ -469,10 +446,7 @@
     private double averageUse() {
         if (averagedAt == now) return average;
         averagedAt = now;
-        double asked = 0;
-        double links = 0;
-        double own = 0;
-        double all = 0;
+        double asked = 0, links = 0, own = 0, all = 0;
         for (Server h : servers.values()) {
             if (h.ready) {
                 own += h.ownKb;
@@ -503,16 +477,12 @@
 
     /** A reading of the link's use, {@code late} ms old; {@code atLeast}: it is capped. */
     private void heard(Server h, double use, double late, double gain, boolean atLeast) {
-        if (now - late < Math.max(h.relievedAt, h.rack.relievedAt) + REACT_MS) {
-            return; // read before the last lowering took effect: says nothing of now
-        }
+        // read before the last lowering took effect: says nothing of now
+        if (now - late < Math.max(h.relievedAt, h.rack.relievedAt) + REACT_MS) return;
         double asked = Math.min(MOST_USE, Math.max(0, use)) * h.link;
         double peers = Math.max(0, asked - h.ownAt(now - late));
-        if (h.heardAt <= 0) {
-            h.peerKb = peers;
-        } else if (!atLeast || peers > h.peerKb) {
-            h.peerKb += gain * (peers - h.peerKb);
-        }
+        if (h.heardAt <= 0) h.peerKb = peers;
+        else if (!atLeast || peers > h.peerKb) h.peerKb += gain * (peers - h.peerKb);
         h.heardAt = now;
     }
 
@@ -534,31 +504,21 @@
         boolean fresh = s != null && now - s.startedAt < media.noteDelayMs() / 2 && s.attempts > 0;
         switch (e.kind()) {
             case RUNG -> {
-                if (s != null && s.server != null) {
-                    int rung = (int) Math.max(0, Math.min(media.rungKb().size() - 1, e.value()));
-                    if (rung != s.rung) {
-                        count(s, -1);
-                        s.rung = rung;
-                        count(s, +1);
-                    }
-                }
+                int rung = (int) Math.max(0, Math.min(media.rungKb().size() - 1, e.value()));
+                if (s != null && s.server != null && rung != s.rung) shift(s, rung);
             }
             case LINK_USE -> heard(h, e.value(), fresh ? 0 : media.noteDelayMs(), NOTE_GAIN, false);
             case UPLINK_USE -> heardUplink(h.rack, e.value(), fresh ? 0 : media.noteDelayMs(), NOTE_GAIN);
             case DELIVERED_SHARE -> shortDelivery(h, e.value());
-            default -> {
-            }
+            default -> { }
         }
         relieve(h);
     }
 
     /** Short delivery raises the estimate of what is short: the uplink if the rack is, else the link. */
     private void shortDelivery(Server h, double share) {
-        if (share >= WHOLE_SHARE) {
-            h.shortAt = NEVER;
-            return;
-        }
-        h.shortAt = now;
+        h.shortAt = share >= WHOLE_SHARE ? NEVER : now;
+        if (share >= WHOLE_SHARE) return;
         if (now - media.noteDelayMs() < Math.max(h.relievedAt, h.rack.relievedAt) + 2 * REACT_MS) return;
         double asked = Math.min(MOST_USE, 1 / Math.max(0.05, share));
         double own = h.ownAt(now - media.noteDelayMs());
@@ -571,11 +531,16 @@
             h.rack.bias = Math.min(BIAS_MOST, h.rack.bias + 0.5 * Math.max(0, bias - h.rack.bias));
             h.rack.heardAt = now;
         } else {
-            h.peerKb = Math.max(h.peerKb, asked * h.link - h.ownKb);
-            h.heardAt = now;
+            atLeast(h, asked);
         }
     }
 
+    /** Something showed that at least this part of the link is asked. */
+    private void atLeast(Server h, double use) {
+        h.peerKb = Math.max(peerKb(h), use * h.link - h.ownKb);
+        h.heardAt = now;
+    }
+
     // --- Rungs of playing sessions ---
 
     /** The price of a kB: what own sessions' steps must be worth for all own demand to keep its share. */
@@ -584,9 +549,7 @@
         pricedAt = now;
         double target = 0;
         for (Rack rack : racks.values()) {
-            double links = 0;
-            double asked = 0;
-            double own = 0;
+            double links = 0, asked = 0, own = 0;
             for (Server h : rack.servers) {
                 if (h.ready && healthy(h)) {
                     links += h.link * MARK;
@@ -598,12 +561,8 @@
             target += asked > 0 ? own * room / asked : room / Math.max(1, cfg.controllers());
         }
         TreeMap<Double, Double> steps = new TreeMap<>(Comparator.reverseOrder());
-        double base = 0;
-        double prior = 0;
-        for (int c = 0; c < kb.length; c++) {
-            SessionClass k = cfg.classes().get(c);
-            prior += PRIOR_SESSIONS * kb[c][k.lowestRung()];
-        }
+        double base = 0, prior = 0;
+        for (SessionClass k : cfg.classes()) prior += PRIOR_SESSIONS * k.scale() * media.rungKb().get(0);
         for (Session s : sessions.values()) {
             if (s.server == null) continue;
             base += kb[s.c][s.k.lowestRung()];
@@ -616,11 +575,10 @@
         if (base <= prior) return;
         for (Map.Entry<Double, Double> step : steps.entrySet()) {
             used += step.getValue();
-            if (used > target) {
-                price = step.getKey();
-                return;
-            }
+            price = step.getKey();
+            if (used > target) return;
         }
+        price = 0;
     }
 
     private void onTimer(TimerFired e) {
@@ -680,14 +638,13 @@
         while (freed < need) {
             Session worst = null;
             for (Session s : from) {
-                if (s.playing && s.rung > s.k.lowestRung() && s.step() < under
-                        && (worst == null || s.step() < worst.step())) {
-                    worst = s;
-                }
+                boolean can = s.playing && s.rung > s.k.lowestRung() && s.step() < under;
+                if (can && (worst == null || s.step() < worst.step())) worst = s;
             }
             if (worst == null) break;
             double before = worst.server.ownKb;
             shift(worst, worst.rung - 1);
+            worst.changedAt = now;
             changed.add(worst);
             freed += before - worst.server.ownKb;
         }
@@ -736,6 +693,7 @@
                     && uplinkUse(s.server.rack) + s.server.rack.part(more) <= RAISE) {
                 raiseTokens--;
                 shift(s, s.rung + 1);
+                s.changedAt = now;
                 out.rung(s.request.id(), s.rung);
             }
         }
@@ -744,8 +702,6 @@
     private void shift(Session s, int rung) {
         count(s, -1);
         s.rung = rung;
-        s.rungSent = true;
-        s.changedAt = now;
         count(s, +1);
     }
 
@@ -756,8 +712,7 @@
     }
 
     private boolean manyBad() {
-        int bad = 0;
-        int all = 0;
+        int bad = 0, all = 0;
         for (Server h : servers.values()) {
             all += h.ready ? 1 : 0;
             bad += h.ready && !healthy(h) ? 1 : 0;
@@ -766,7 +721,7 @@
     }
 
     /** Judges a server by how an attempt ended: symptoms, whatever their cause. */
-    private void judge(Server h, Outcome outcome, boolean playing) {
+    private void judge(Server h, Outcome outcome) {
         switch (outcome) {
             case TIMEOUT, ERROR -> {
                 h.lost.addLast(now);
@@ -778,15 +733,10 @@
                 strike(h);
             }
             case FULL -> {
-                if (media.fullFrom() > 0) {
-                    h.peerKb = Math.max(h.peerKb, media.fullFrom() * h.link - h.ownKb);
-                    h.heardAt = now;
-                } else {
-                    h.suspendedUntil = Math.max(h.suspendedUntil, now + SUSPEND_MS);
-                }
-            }
-            default -> {
+                if (media.fullFrom() <= 0) h.suspendedUntil = Math.max(h.suspendedUntil, now + SUSPEND_MS);
+                else atLeast(h, media.fullFrom());
             }
+            default -> { }
         }
     }
 
@@ -803,7 +753,7 @@
         Server h = servers.get(e.server());
         if (h != null) {
             report(h, e.load());
-            judge(h, e.outcome(), false);
+            judge(h, e.outcome());
         }
     }
 
@@ -833,7 +783,7 @@
             rackOf(h, media.racks() > 0 ? entry.cell() % media.racks() : 0);
         }
         if (e.scope() != ListScope.CHANGES)
-             for (Server h : servers.values()) h.ready &= named.contains(h.id);
+            for (Server h : servers.values()) h.ready &= named.contains(h.id);
     }
 
     private Server server(long id) {
@@ -868,11 +818,8 @@
         h.ownKb = Math.max(0, h.ownKb + sign * kb[s.c][s.rung] * (joins ? media.join() : 1));
         h.ownWeight = Math.max(0, h.ownWeight + sign * s.k.worth());
         if (key != null) h.streams.merge(key, sign, Integer::sum);
-        if (sign > 0) {
-            h.sessions.add(s);
-        } else {
-            h.sessions.remove(s);
-        }
+        if (sign > 0) h.sessions.add(s);
+        else h.sessions.remove(s);
         if (s.k.seats() > 0) seats.merge(s.seatKey(), sign, Integer::sum);
         h.remember(now, h.ownKb - before);
     }
@@ -915,22 +862,14 @@
             this.k = cfg.classes().get(c);
         }
 
-        double discount() {
-            return tenantWorth(request.tenant());
-        }
+        double discount() { return tenantWorth(request.tenant()); }
 
         /** Worth per kB of the step that it stands on. */
-        double step() {
-            return density[c][rung] * discount();
-        }
+        double step() { return density[c][rung] * discount(); }
 
-        String seatKey() {
-            return c + " " + request.title();
-        }
+        String seatKey() { return c + " " + request.title(); }
 
-        String streamKey(int at) {
-            return at + " " + c + " " + request.title();
-        }
+        String streamKey(int at) { return at + " " + c + " " + request.title(); }
     }
 
     /** One server as seen from here. */
@@ -948,9 +887,7 @@
         double coldSince = NEVER, lastSent = NEVER;
         double relievedAt = NEVER;
 
-        Server(long id) {
-            this.id = id;
-        }
+        Server(long id) { this.id = id; }
 
         void remember(double at, double change) {
             changes.addLast(new double[] {at, change});
@@ -973,9 +910,7 @@
         boolean told;
         double heardAt, relievedAt = NEVER;
 
-        Rack(double uplinkKb) {
-            this.uplinkKb = uplinkKb;
-        }
+        Rack(double uplinkKb) { this.uplinkKb = uplinkKb; }
 
         double asked(double at) {
             double asked = 0;
@@ -983,8 +918,6 @@
             return asked;
         }
 
-        double part(double kbs) {
-            return uplinkKb <= 0 ? 0 : bias * kbs / uplinkKb;
-        }
+        double part(double kbs) { return uplinkKb <= 0 ? 0 : bias * kbs / uplinkKb; }
     }
 }
--- /dev/null
+++ b/src/test/java/calicovale/SessionControllerTest.java
@@ -0,0 +1,423 @@
+package calicovale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicovale.ControllerApi.*;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** The mechanism, the rules with their boundaries, and each failure found, through the interface. */
+class SessionControllerTest {
+
+    // --- The mechanism ---
+
+    @Test
+    void newcomersGoWhereTheShareIsLargest() {
+        Rig rig = new Rig().start().servers(4);
+        Set<Long> used = new HashSet<>();
+        for (int i = 0; i < 4; i++) {
+            rig.request("s" + i, 0, 3);
+            used.add(rig.out.server.get("s" + i));
+        }
+        assertEquals(4, used.size(), "each server once before any twice");
+    }
+
+    @Test
+    void aLargerLinkDrawsMoreSessions() {
+        Rig rig = new Rig().start();
+        rig.servers(1);
+        rig.list(ListScope.CHANGES, List.of(new ServerEntry(9, ServerState.READY, 0, 0, 1, 0, 3)));
+        for (int i = 0; i < 8; i++) {
+            rig.request("s" + i, 0, 0);
+        }
+        long large = rig.out.server.values().stream().filter(h -> h == 9).count();
+        assertEquals(6, large, "three quarters of the links, three quarters of the sessions");
+    }
+
+    @Test
+    void onlyHoldersOfTheTitleAreUsed() {
+        Rig rig = new Rig().start().servers(12);
+        for (int i = 0; i < 20; i++) {
+            rig.controller.handle(rig.now, new Request("s" + i, 0, 0, "v", "t", rig.now + 4000, 0, 11, 3, 0, false,
+                    false, false));
+            assertTrue(Set.of(12L, 1L, 2L).contains(rig.out.server.get("s" + i)), "cells 11, 0 and 1 hold it");
+        }
+    }
+
+    @Test
+    void theCapRefusesAtOnceWithARetryAfter() {
+        Rig rig = new Rig();
+        rig.kindStreams = 3;
+        rig.classes = List.of(Rig.pure(1, 0, 0));
+        rig.start().servers(1);
+        rig.controller.handle(rig.now, rig.demand("a", 0, 0));
+        rig.controller.handle(rig.now, rig.demand("b", 0, 0));
+        rig.controller.handle(rig.now, rig.demand("c", 0, 0));
+        assertTrue(rig.out.sent("c"), "the third fills the cap");
+        rig.controller.handle(rig.now, rig.demand("d", 0, 0));
+        assertFalse(rig.out.sent("d"));
+        String last = rig.out.lines.get(rig.out.lines.size() - 1);
+        double after = Double.parseDouble(last.substring(last.lastIndexOf(' ') + 1));
+        assertTrue(last.startsWith("refuse d") && after > 0 && after <= 1000, last);
+    }
+
+    @Test
+    void theRungIsTheHighestUnderTheMark() {
+        Rig rig = new Rig();
+        rig.link = 1000;
+        rig.start().servers(1);
+        rig.request("a", 0, 3);
+        assertEquals(2, rig.out.rung.get("a"), "800 of 1000 fits under the mark, 1600 does not");
+        rig.request("b", 0, 0);
+        assertTrue(rig.out.refused("b"), "200 more does not fit while nothing can be lowered");
+    }
+
+    @Test
+    void aRungAboveTheViewersTopIsNeverSet() {
+        Rig rig = new Rig().start().servers(3);
+        rig.request("a", 0, 1);
+        assertEquals(1, rig.out.rung.get("a"));
+    }
+
+    @Test
+    void theUplinkLimitsRungsToo() {
+        Rig rig = new Rig();
+        rig.racks = 1;
+        rig.uplinkKb = 1000;
+        rig.start().servers(2);
+        rig.request("a", 0, 3);
+        assertTrue(rig.out.rung.get("a") < 3, "the links have room for the top rung, the uplink has not");
+    }
+
+    @Test
+    void aNewcomerIsGivenRoomByStepsOfLessWorth() {
+        Rig rig = new Rig();
+        rig.link = 1000;
+        rig.start().servers(1);
+        rig.request("a", 1, 3).started("a");
+        assertEquals(2, rig.out.rung.get("a"));
+        rig.request("b", 0, 0);
+        assertTrue(rig.out.sent("b"));
+        assertTrue(rig.out.rung.get("a") < 2, "the cheaper session's upper step makes the room");
+    }
+
+    @Test
+    void equalEventsGiveEqualActions() {
+        List<List<String>> runs = new ArrayList<>();
+        for (int run = 0; run < 2; run++) {
+            Rig rig = new Rig().start().servers(6);
+            for (int i = 0; i < 30; i++) {
+                rig.request("s" + i, i % 2, 3).tick(100);
+            }
+            runs.add(rig.out.lines);
+        }
+        assertEquals(runs.get(0), runs.get(1));
+    }
+
+    // --- Rule 1: one answer in time ---
+
+    @Test
+    void withoutServersTheAnswerComesAtOnce() {
+        Rig rig = new Rig().start();
+        rig.request("a", 0, 3);
+        assertEquals(1, rig.out.count("refuse", "a"));
+    }
+
+    @Test
+    void anOutcomeAfterTheViewerLeftGetsNoAnswer() {
+        Rig rig = new Rig().start().servers(2);
+        rig.request("a", 0, 3);
+        rig.controller.handle(rig.now, new Departed("a"));
+        assertEquals(1, rig.out.count("cancel", "a"));
+        rig.ended("a", Outcome.CANCELLED);
+        assertEquals(0, rig.out.count("refuse", "a") + rig.out.count("fail", "a"));
+        assertEquals(1, rig.out.count("attempt", "a"));
+    }
+
+    @Test
+    void oneAttemptIsOutAndTheNextGoesElsewhere() {
+        Rig rig = new Rig().start().servers(2);
+        rig.request("a", 0, 3);
+        long first = rig.out.server.get("a");
+        rig.tick(300);
+        assertEquals(1, rig.out.count("attempt", "a"), "nothing more while it is out");
+        rig.ended("a", Outcome.ERROR);
+        assertEquals(2, rig.out.count("attempt", "a"));
+        assertNotEquals(first, rig.out.server.get("a"));
+    }
+
+    @Test
+    void attemptsStopAtTheSendCap() {
+        Rig rig = new Rig();
+        rig.limits = new Limits(2, 1000, false, false, true);
+        rig.start().servers(6);
+        rig.request("a", 0, 3).ended("a", Outcome.ERROR).ended("a", Outcome.ERROR);
+        assertEquals(2, rig.out.count("attempt", "a"));
+        assertEquals(1, rig.out.count("refuse", "a"));
+    }
+
+    // --- Rule 2: no effect twice ---
+
+    @Test
+    void aSideEffectThatMayHaveRunFailsAndIsNotRepeated() {
+        Rig rig = new Rig();
+        rig.classes = List.of(Rig.of(Effect.SIDE_EFFECT, Group.ALL));
+        rig.start().servers(3);
+        rig.request("a", 0, 3).ended("a", Outcome.TIMEOUT);
+        assertEquals(1, rig.out.count("attempt", "a"));
+        assertEquals(1, rig.out.count("fail", "a"));
+        assertEquals(0, rig.out.count("refuse", "a"));
+    }
+
+    @Test
+    void aSideEffectThatProvablyNeverRanIsRepeated() {
+        Rig rig = new Rig();
+        rig.classes = List.of(Rig.of(Effect.SIDE_EFFECT, Group.ALL));
+        rig.start().servers(3);
+        rig.request("a", 0, 3).ended("a", Outcome.CONNECT_FAILED);
+        assertEquals(2, rig.out.count("attempt", "a"));
+    }
+
+    @Test
+    void aTokenIsRepeatedInItsCellAndTimeOnly() {
+        Rig rig = new Rig();
+        rig.classes = List.of(Rig.of(Effect.TOKEN, Group.CELL));
+        rig.start().servers(3);
+        rig.request("a", 0, 3).ended("a", Outcome.TIMEOUT);
+        assertEquals(1, rig.out.count("attempt", "a"), "no other server in the cell");
+        assertEquals(1, rig.out.count("fail", "a"), "and a refusal would promise too much");
+        Rig all = new Rig();
+        all.classes = List.of(Rig.of(Effect.TOKEN, Group.ALL));
+        all.start().servers(3);
+        all.request("a", 0, 3);
+        all.now += 499;
+        all.ended("a", Outcome.TIMEOUT);
+        assertEquals(2, all.out.count("attempt", "a"), "499 of 500 ms: the token holds");
+        all.now += 1;
+        all.ended("a", Outcome.TIMEOUT);
+        assertEquals(2, all.out.count("attempt", "a"), "500 ms: it does not");
+    }
+
+    // --- Rule 3: drains ---
+
+    @Test
+    void nothingGoesToADrainingGoneOrMissingServer() {
+        Rig rig = new Rig().start().servers(3);
+        rig.list(ListScope.CHANGES, List.of(Rig.entry(1, ServerState.DRAINING, 0, 0)));
+        rig.list(ListScope.COMPLETE, List.of(Rig.entry(1, ServerState.DRAINING, 0, 0),
+                Rig.entry(2, ServerState.READY, 1, 0)));
+        for (int i = 0; i < 10; i++) {
+            rig.request("s" + i, 0, 0);
+            assertEquals(2, rig.out.server.get("s" + i));
+        }
+    }
+
+    @Test
+    void anOlderListBringsNobodyBack() {
+        Rig rig = new Rig().start().servers(2);
+        rig.controller.handle(rig.now, new ServerList(ListScope.CHANGES, 9,
+                List.of(Rig.entry(1, ServerState.GONE, 0, 0))));
+        rig.controller.handle(rig.now, new ServerList(ListScope.COMPLETE, 5,
+                List.of(Rig.entry(1, ServerState.READY, 0, 0), Rig.entry(2, ServerState.READY, 1, 0))));
+        for (int i = 0; i < 6; i++) {
+            rig.request("s" + i, 0, 0);
+            assertEquals(2, rig.out.server.get("s" + i));
+        }
+    }
+
+    // --- Rule 4: cold servers ---
+
+    @Test
+    void managersTogetherStayUnderAColdServersBudgetInEveryWindow() {
+        List<Double> sends = new ArrayList<>();
+        for (int self = 0; self < 3; self++) {
+            Rig rig = new Rig();
+            rig.self = self;
+            rig.controllers = 3;
+            rig.start();
+            rig.list(ListScope.SAVED, List.of(Rig.entry(1, ServerState.READY, 0, Rig.T0)));
+            for (int i = 0; i < 900; i++) {
+                rig.now += 10;
+                rig.request("s" + i, 1, 0);
+                if (rig.out.sent("s" + i)) {
+                    sends.add(rig.now);
+                    rig.started("s" + i).ended("s" + i, Outcome.OK);
+                }
+            }
+        }
+        // 30 streams over 10 s at half pace, times 2: 3 a second
+        assertTrue(sends.size() > 6, "it is used");
+        for (double from : sends) {
+            long within = sends.stream().filter(t -> t >= from && t < from + 1000).count();
+            assertTrue(within <= 3, within + " within a second");
+        }
+    }
+
+    @Test
+    void aResetServerIsTakenForColdThoughTheListSaysNothing() {
+        Rig rig = new Rig();
+        rig.start().servers(1);
+        rig.request("a", 0, 0).started("a").ended("a", Outcome.RESET);
+        rig.now += 5000;
+        long before = rig.out.count("attempt");
+        for (int i = 0; i < 100; i++) {
+            rig.now += 10;
+            rig.request("s" + i, 1, 0);
+        }
+        long sent = rig.out.count("attempt") - before;
+        assertTrue(sent <= 3, sent + " in the second after");
+    }
+
+    // --- Rule 5: floor and seats ---
+
+    @Test
+    void aFlooredClassNeverPlaysUnderItsFloor() {
+        Rig rig = new Rig();
+        rig.link = 500;
+        rig.classes = List.of(Rig.pure(1, 1, 0), Rig.pure(3, 0, 0));
+        rig.start().servers(1);
+        rig.request("a", 0, 3).started("a");
+        assertEquals(1, rig.out.count("attempt", "a"));
+        rig.note("a", NoteKind.LINK_USE, 2.5);
+        rig.now += 4000;
+        rig.note("a", NoteKind.LINK_USE, 2.5).tick(250);
+        assertFalse(rig.out.lines.contains("rung a 0"));
+    }
+
+    @Test
+    void seatsCountSetUpsAndTheLastOneIsGiven() {
+        Rig rig = new Rig();
+        rig.classes = List.of(Rig.pure(1, 0, 2));
+        rig.start().servers(3);
+        rig.request("a", 0, 0).request("b", 0, 0).request("c", 0, 0);
+        assertTrue(rig.out.sent("b"));
+        assertTrue(rig.out.refused("c"));
+        rig.started("a").ended("a", Outcome.OK);
+        rig.request("d", 0, 0);
+        assertTrue(rig.out.sent("d"));
+    }
+
+    // --- Rule 6: the budget of further attempts ---
+
+    @Test
+    void furtherAttemptsStayInTheirBudget() {
+        Rig rig = new Rig();
+        rig.rules = new Rules(0.5, 10_000, 2, 1000, 250, 1, 0.5, 1000, 0);
+        rig.start().servers(8);
+        rig.request("a", 0, 0);
+        rig.request("b", 0, 0);
+        rig.ended("a", Outcome.ERROR);
+        rig.ended("b", Outcome.ERROR);
+        assertEquals(2, rig.out.count("attempt", "b"), "1 + 0.5 x 2 allows two");
+        rig.request("c", 1, 0).ended("c", Outcome.ERROR);
+        assertEquals(1, rig.out.count("attempt", "c"), "1 + 0.5 x 3 allows no third");
+        assertTrue(rig.out.refused("c"));
+    }
+
+    // --- Failures found ---
+
+    @Test
+    void aServerThatTimesOutDoesNotLookEmptiest() {
+        Rig rig = new Rig().start().servers(3);
+        rig.request("a", 0, 0);
+        long sick = rig.out.server.get("a");
+        rig.ended("a", Outcome.TIMEOUT);
+        for (int i = 0; i < 10; i++) {
+            rig.request("s" + i, 0, 0);
+            assertNotEquals(sick, rig.out.server.get("s" + i));
+        }
+    }
+
+    @Test
+    void aServerOnceFullIsTriedAgain() {
+        Rig rig = new Rig();
+        rig.fullFrom = 1;
+        rig.start().servers(1);
+        rig.request("a", 0, 0).ended("a", Outcome.FULL);
+        rig.now += 500;
+        rig.request("b", 0, 0);
+        assertTrue(rig.out.refused("b"), "full a moment ago");
+        rig.now += 30_000;
+        rig.request("c", 0, 0);
+        assertTrue(rig.out.sent("c"), "an old reading must not close a server for good");
+    }
+
+    @Test
+    void oneShortageLowersOnce() {
+        Rig rig = new Rig();
+        rig.link = 4000;
+        rig.start().servers(1);
+        for (int i = 0; i < 4; i++) {
+            rig.request("s" + i, 1, 2).started("s" + i);
+        }
+        rig.now += 3000;
+        long before = rig.out.count("rung");
+        rig.note("s0", NoteKind.LINK_USE, 1.2);
+        long after = rig.out.count("rung");
+        assertTrue(after > before, "a real shortage lowers");
+        rig.tick(250).tick(250).tick(250);
+        assertEquals(after, rig.out.count("rung"), "and is not answered again before news of its effect");
+    }
+
+    @Test
+    void aGuessLowersNobody() {
+        Rig rig = new Rig();
+        rig.controllers = 4;
+        rig.link = 1000;
+        rig.start();
+        rig.list(ListScope.SAVED, List.of(Rig.entry(1, ServerState.READY, 0, 0)));
+        rig.controller.handle(rig.now, new Takeover(rig.demand("a", 0, 3), 1));
+        rig.controller.handle(rig.now, new Note("a", 0, 1, NoteKind.RUNG, 2));
+        rig.tick(250).tick(250);
+        assertEquals(0, rig.out.count("rung"));
+    }
+
+    @Test
+    void aRestartedManagerThatKnowsNothingStillServes() {
+        Rig rig = new Rig();
+        rig.racks = 2;
+        rig.uplinkKb = 36_000;
+        rig.controllers = 2;
+        rig.start();
+        List<ServerEntry> saved = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            saved.add(Rig.entry(i + 1, ServerState.READY, i, 0));
+        }
+        rig.list(ListScope.SAVED, saved);
+        rig.request("a", 0, 3);
+        assertTrue(rig.out.sent("a"));
+    }
+
+    @Test
+    void allServersBadMeansThatNoneIs() {
+        Rig rig = new Rig().start().servers(3);
+        for (int i = 0; i < 3; i++) {
+            rig.request("s" + i, 0, 0);
+        }
+        for (int i = 0; i < 3; i++) {
+            rig.ended("s" + i, Outcome.ERROR);
+        }
+        rig.request("x", 0, 0);
+        assertTrue(rig.out.sent("x"), "the plain mechanism decides while all look bad");
+    }
+
+    // --- Misuse ---
+
+    @Test
+    void misuseIsToldPlainly() {
+        assertThrows(IllegalArgumentException.class, () -> new SessionController(null, 1, 0, new Recorder()));
+        Rig rig = new Rig().start().servers(1);
+        assertThrows(IllegalArgumentException.class, () -> rig.controller.handle(rig.now, rig.demand("a", 7, 0)));
+        rig.request("a", 0, 0);
+        assertThrows(IllegalArgumentException.class, () -> rig.controller.handle(rig.now, rig.demand("a", 0, 0)));
+        assertThrows(IllegalArgumentException.class, () -> rig.controller.handle(rig.now, null));
+    }
+}
