--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -1,18 +1,7 @@
 package calicovale;
 
 import calicovale.ControllerApi.*;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.TreeMap;
+import java.util.*;
 
 /**
  * All decisions of one session manager: who plays, where and at what quality. Events, actions and settings
@@ -24,8 +13,8 @@
     // Constants: each with its unit (parts and counts have none) and its reason.
     private static final double
         NEVER = Double.NEGATIVE_INFINITY, // clock time before all others
-        MARK = 0.90, // part of a link or uplink that set-ups may fill; true rates swing about the ladder
-        SHED = 0.97, // part asked above which playing sessions are lowered: shortage begins at 1
+        MARK = 0.92, // part of a link or uplink that set-ups may fill; true rates swing about the ladder
+        SHED = 1.02, // part asked above which playing sessions are lowered: really short, not nearly
         RAISE = 0.80, // part asked up to which they are raised: well under MARK, or it would be undone
         CALM_MS = 6000, // ms that room must have lasted before a raise: two rounds of notes
         RAISE_PACE = 0.02, // raises per session and second: in all under 3 steps a session-minute
@@ -60,6 +49,10 @@
         LEAST_LEFT_MS = 100, // ms left to the viewer under which no attempt is worth sending
         RETRY_MS = 400, // ms; shortest retry-after: about a departure at a busy server
         RETRY_SPREAD_MS = 400, // ms over which retry-afters spread, so that refused viewers come apart
+        RACK_SHORT = 0.6, // part of a rack's used servers that is short when its uplink is
+        DEAD_SHARE = 0.2, // share delivered under which a server plays nothing, unless its link explains it
+        TROUBLE_S = 8, // s that trouble with a server goes on, about, once it is seen
+        LIFE_S = 35, // s that a session lasts, before any has ended here
         ASK_AGAIN_MS = 1500, // ms between calls for the list after a failed one
         PRIOR_SESSIONS = 1, // sessions of each class under which the price is left at 0: too few to tell
         TENANT_S = 5; // s over which a tenant's rate is averaged
@@ -78,7 +71,7 @@
     private final double[] tenantRate, tenantAt;
     private final double meanWorth, cap;
     private final double startedAt;
-    private double now, average, price, raiseTokens, tickedAt, setupDeviation, setupMs = -1;
+    private double now, average, price, raiseTokens, tickedAt, setupDeviation, setupMs = -1, lifeS = LIFE_S;
     private double averagedAt = NEVER, pricedAt = NEVER;
     private long listVersion = -1;
     private boolean handedOver;
@@ -275,6 +268,7 @@
             s.tokenServer = h;
             s.tokenAt = s.sentAt;
         }
+        if (s.playing && e.outcome() == Outcome.OK) lifeS += 0.05 * (e.elapsedMs() / 1000 - lifeS);
         if (s.playing || s.departed || e.closed()) sessions.remove(e.id());
         else place(s);
     }
@@ -524,9 +518,16 @@
         double own = h.ownAt(now - media.noteDelayMs());
         double explained = Math.max((own + peerKb(h)) / h.link, uplinkUse(h.rack));
         if (explained >= asked * 0.95) return;
-        int near = 0;
-        for (Server other : h.rack.servers) near += now - other.shortAt < SHORT_FRESH_MS ? 1 : 0;
-        if (near >= 2 && h.rack.uplinkKb > 0 && !h.rack.told) {
+        int near = 0, used = 0;
+        for (Server other : h.rack.servers) {
+            near += now - other.shortAt < SHORT_FRESH_MS ? 1 : 0;
+            used += other.sessions.isEmpty() ? 0 : 1;
+        }
+        boolean rackShort = near >= 2 && near >= RACK_SHORT * used;
+        if (share < DEAD_SHARE && explained < asked / 2 && !rackShort) {
+            h.deadAt = now;
+            strike(h);
+        } else if (rackShort && h.rack.uplinkKb > 0 && !h.rack.told) {
             double bias = asked * h.rack.uplinkKb / Math.max(1, h.rack.asked(now));
             h.rack.bias = Math.min(BIAS_MOST, h.rack.bias + 0.5 * Math.max(0, bias - h.rack.bias));
             h.rack.heardAt = now;
@@ -600,7 +601,10 @@
             if (rack.bias > 1 && quiet > SHORT_FRESH_MS || untested)
                 rack.bias = Math.max(untested ? BIAS_LEAST : 1, rack.bias * (1 - BIAS_FALL * s * pace));
         }
-        for (Server h : servers.values()) relieve(h);
+        for (Server h : servers.values()) {
+            relieve(h);
+            evacuate(h);
+        }
         raise();
     }
 
@@ -631,6 +635,20 @@
         }
     }
 
+    /**
+     * Moves sessions off a server that plays nothing, whatever its link says, where that is worth its price.
+     * Should cover hangs, dead disks and cut uplinks of one server; hurts where short delivery is misread.
+     */
+    private void evacuate(Server h) {
+        boolean worthIt = TROUBLE_S > cfg.moveCost() * lifeS + 1 && averageUse() < MARK;
+        if (now - h.deadAt > TICK_MS || !worthIt || manyBad()) return;
+        for (Session s : new ArrayList<>(h.sessions))
+            if (s.playing && !s.departed && now - s.startedAt > CALM_MS / 2) {
+                s.departed = true;
+                out.move(s.request.id());
+            }
+    }
+
     /** Lowers sessions, least worth per kB first, each with one change; returns the kB freed. */
     private double lower(List<Session> from, double need, double under) {
         double freed = 0;
@@ -883,7 +901,7 @@
         boolean listed, ready;
         int kind, zone, cell, out, strikes;
         double link, ownKb, ownWeight, peerKb, peerStreams = -1, heardAt, shortAt = NEVER;
-        double struckAt = NEVER, suspendedUntil = NEVER;
+        double deadAt = NEVER, struckAt = NEVER, suspendedUntil = NEVER;
         double coldSince = NEVER, lastSent = NEVER;
         double relievedAt = NEVER;
 
