--- a/src/main/java/calicovale/ControllerApi.java
+++ b/src/main/java/calicovale/ControllerApi.java
@@ -115,13 +115,15 @@
      * @param media the ladder and the links
      * @param reports how load reports come
      * @param askForList the list of servers comes only when asked for
+     * @param worstClassWeight weight of the worst-served class in the result, below 1; 0: none
      * @param moveCost price of moving every session once, as a part of all worth
      * @param zoneCost price of serving every session across zones
      * @param probeCost price of one probe a session
      */
     public record Settings(int self, int controllers, int zone, List<SessionClass> classes,
             List<Tenant> tenants, double overShareWorth, Limits limits, Rules rules, Media media,
-            ReportMode reports, boolean askForList, double moveCost, double zoneCost, double probeCost) {
+            ReportMode reports, boolean askForList, double worstClassWeight, double moveCost, double zoneCost,
+            double probeCost) {
     }
 
     /** The state of a server in the list. */
--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -17,7 +17,7 @@
         SHED = 1.02, // part asked above which playing sessions are lowered: really short, not nearly
         RAISE = 0.80, // part asked up to which they are raised: well under MARK, or it would be undone
         CALM_MS = 6000, // ms that room must have lasted before a raise: two rounds of notes
-        RAISE_PACE = 0.02, // raises per session and second: in all under 3 steps a session-minute
+        RAISE_PACE = 0.03, // raises per session and second: in all under 3 steps a session-minute
         TICK_MS = 250, // ms between looks at all links: shorter than a note's lateness
         NOTE_GAIN = 0.7, // weight of a new note: notes carry noise of several per cent
         REPORT_GAIN = 0.4, // weight of an outcome's report: later and noisier than a note
@@ -53,6 +53,8 @@
         DEAD_SHARE = 0.2, // share delivered under which a server plays nothing, unless its link explains it
         TROUBLE_S = 8, // s that trouble with a server goes on, about, once it is seen
         LIFE_S = 35, // s that a session lasts, before any has ended here
+        LAG = 0.1, // part served behind the whole at which the worst class weighs fully
+        MOST_BOOST = 1, // most that its weight grows by: the stated weight counts the worst class alone
         ASK_AGAIN_MS = 1500, // ms between calls for the list after a failed one
         PRIOR_SESSIONS = 1, // sessions of each class under which the price is left at 0: too few to tell
         TENANT_S = 5; // s over which a tenant's rate is averaged
@@ -68,7 +70,7 @@
     private final ArrayDeque<Double> taken = new ArrayDeque<>();
     private final ArrayDeque<Double> extras = new ArrayDeque<>();
     private final double[][] kb, density;
-    private final double[] tenantRate, tenantAt;
+    private final double[] tenantRate, tenantAt, earned, offered, boost;
     private final double meanWorth, cap;
     private final double startedAt;
     private double now, average, price, raiseTokens, tickedAt, setupDeviation, setupMs = -1, lifeS = LIFE_S;
@@ -102,6 +104,10 @@
         double streams = 0;
         for (double kind : media.kindStreams()) streams += kind / media.kindStreams().size();
         cap = streams > 0 ? streams * meanWorth : Double.MAX_VALUE;
+        earned = new double[kb.length];
+        offered = new double[kb.length];
+        boost = new double[kb.length];
+        Arrays.fill(boost, 1);
         tenantRate = new double[Math.max(1, cfg.tenants().size())];
         tenantAt = new double[tenantRate.length];
         if (cfg.askForList()) out.subscribe();
@@ -225,13 +231,10 @@
         s.startedAt = now;
         h.out--;
         h.strikes = Math.max(0, h.strikes - 1);
-        if (setupMs < 0) {
-            setupMs = e.elapsedMs();
-            setupDeviation = e.elapsedMs() / 2;
-        } else {
-            setupDeviation += 0.1 * (Math.abs(e.elapsedMs() - setupMs) - setupDeviation);
-            setupMs += 0.1 * (e.elapsedMs() - setupMs);
-        }
+        double usual = setupMs < 0 ? e.elapsedMs() / 2 : setupMs;
+        double gain = setupMs < 0 ? 1 : 0.1;
+        setupDeviation += gain * (Math.abs(e.elapsedMs() - usual) - setupDeviation);
+        setupMs = usual + gain * (e.elapsedMs() - usual);
     }
 
     private void onTakeover(Takeover e) {
@@ -240,11 +243,10 @@
         Server h = server(e.server());
         Session s = new Session(e.request());
         s.server = h;
-        s.playing = true;
+        s.playing = s.rungSent = true;
         s.attempts = 1;
         s.startedAt = now;
         s.rung = s.k.lowestRung();
-        s.rungSent = true;
         sessions.put(e.request().id(), s);
         count(s, +1);
     }
@@ -276,12 +278,9 @@
     private void onDeparted(Departed e) {
         Session s = sessions.get(e.id());
         if (s == null) return;
-        if (s.server == null) {
-            sessions.remove(e.id());
-            return;
-        }
         s.departed = true;
-        if (!s.playing && cfg.limits().cancel()) out.cancel(e.id(), s.attempts - 1);
+        if (s.server == null) sessions.remove(e.id());
+        else if (!s.playing && cfg.limits().cancel()) out.cancel(e.id(), s.attempts - 1);
     }
 
     // --- Choice: steps 2, 3 and 5 of the design ---
@@ -315,10 +314,8 @@
                 }
             }
         }
-        if (best != null) {
-            s.rung = fitting(best, s, want);
-            return best;
-        }
+        if (best != null) s.rung = fitting(best, s, want);
+        if (best != null) return best;
         // No rung fits: lower playing sessions of less worth per kB, if one holder's room can be made so.
         holders.sort(Comparator.comparingDouble((Server h) -> -capacity(h) * s.k.worth() / load(h, s)));
         for (Server h : holders) {
@@ -390,7 +387,7 @@
     /** The rung that the present price leaves the viewer: the top one while room is not scarce. */
     private int wanted(Session s) {
         int rung = s.k.lowestRung();
-        int top = Math.min(s.request.top(), Math.min(s.k.highestRung(), media.rungKb().size() - 1));
+        int top = s.top();
         while (rung < top && density[s.c][rung + 1] * s.discount() >= price) rung++;
         return rung;
     }
@@ -567,7 +564,7 @@
         for (Session s : sessions.values()) {
             if (s.server == null) continue;
             base += kb[s.c][s.k.lowestRung()];
-            int top = Math.min(s.request.top(), Math.min(s.k.highestRung(), kb[s.c].length - 1));
+            int top = s.top();
             for (int r = s.k.lowestRung() + 1; r <= top; r++)
                 steps.merge(density[s.c][r] * s.discount(), kb[s.c][r] - kb[s.c][r - 1], Double::sum);
         }
@@ -583,14 +580,12 @@
     }
 
     private void onTimer(TimerFired e) {
-        if (e.name().equals("list")) {
-            out.subscribe();
-            return;
-        }
+        if (e.name().equals("list")) out.subscribe();
         if (!e.name().equals("tick")) return;
         double s = (now - tickedAt) / 1000;
         tickedAt = now;
         out.timer(TICK_MS * (0.8 + 0.4 * random.nextDouble()), "tick");
+        balance(s);
         reprice();
         int playing = sessions.size();
         raiseTokens = Math.min(Math.max(1, playing * 0.05), raiseTokens + RAISE_PACE * playing * s);
@@ -769,10 +764,9 @@
 
     private void onProbe(ProbeEnded e) {
         Server h = servers.get(e.server());
-        if (h != null) {
-            report(h, e.load());
-            judge(h, e.outcome());
-        }
+        if (h == null) return;
+        report(h, e.load());
+        judge(h, e.outcome());
     }
 
     // --- The list ---
@@ -862,6 +856,29 @@
         return inside + cfg.overShareWorth() * (1 - inside);
     }
 
+    /**
+     * The result counts the worst-served class once more, so the steps of a class served less than the whole
+     * weigh more, by the stated weight; off where none is stated.
+     */
+    private void balance(double s) {
+        double got = 0, asked = 0;
+        for (Session session : sessions.values()) {
+            if (!session.playing) continue;
+            double worth = session.k.worth() * s;
+            earned[session.c] += worth * media.rungWorth().get(session.rung);
+            offered[session.c] += worth * media.rungWorth().get(session.top());
+        }
+        for (int c = 0; c < kb.length; c++) {
+            got += earned[c];
+            asked += offered[c];
+        }
+        for (int c = 0; c < kb.length; c++) {
+            double lag = offered[c] <= 0 ? 0 : got / asked - earned[c] / offered[c];
+            double weight = cfg.worstClassWeight() / (1 - cfg.worstClassWeight()) * asked / offered[c];
+            boost[c] = lag <= 0 ? 1 : 1 + Math.min(MOST_BOOST, weight) * Math.min(1, lag / LAG);
+        }
+    }
+
     /** One request, from its arrival to its end. */
     private final class Session {
         final Request request;
@@ -880,7 +897,10 @@
             this.k = cfg.classes().get(c);
         }
 
-        double discount() { return tenantWorth(request.tenant()); }
+        /** What a second of it is worth beside the class's worth. */
+        double discount() { return tenantWorth(request.tenant()) * boost[c]; }
+
+        int top() { return Math.min(request.top(), Math.min(k.highestRung(), kb[c].length - 1)); }
 
         /** Worth per kB of the step that it stands on. */
         double step() { return density[c][rung] * discount(); }
--- a/src/main/java/calicovale/adapter/WireSettings.java
+++ b/src/main/java/calicovale/adapter/WireSettings.java
@@ -42,8 +42,8 @@
                 f.number("specifics.tellMs", 0));
         return new Settings(f.integer("me", 0), f.integer("replicasOfMe", 1), f.integer("az", 0), classes, tenants,
                 f.number("overShareWorth", 1), limits, rules, media, reports(f),
-                choice(f, "discovery", "push", "push", "ask") == 1, f.number("costs.moves", 0),
-                f.number("costs.crossZone", 0), f.number("costs.probe", 0));
+                choice(f, "discovery", "push", "push", "ask") == 1,
+                f.number("scoringMix.worstClass", 0), f.number("costs.moves", 0), f.number("costs.crossZone", 0), f.number("costs.probe", 0));
     }
 
     private static List<SessionClass> classes(Fields f) throws WireException {
--- a/src/test/java/calicovale/Rig.java
+++ b/src/test/java/calicovale/Rig.java
@@ -42,7 +42,7 @@
         Media media = new Media(List.of(200.0, 400.0, 800.0, 1600.0), List.of(0.25, 0.5, 0.75, 1.0), 12, racks,
                 link, uplinkKb, List.of(kindStreams), join, fullFrom, 7, 0.5, 1000, 3000);
         controller = new SessionController(new Settings(self, controllers, zone, classes, tenants, 0.1, limits,
-                rules, media, ReportMode.WITH_OUTCOMES, ask, moveCost, zoneCost, 0.01), seed, now, out);
+                rules, media, ReportMode.WITH_OUTCOMES, ask, 0.2, moveCost, zoneCost, 0.01), seed, now, out);
         return this;
     }
 
