--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -2,6 +2,7 @@
 
 import calicovale.ControllerApi.*;
 import java.util.*;
+import java.util.stream.DoubleStream;
 
 /**
  * All decisions of one session manager: who plays, where and at what quality. Events, actions and settings
@@ -94,16 +95,13 @@
             throw new IllegalArgumentException("settings need classes and a ladder with worths");
         kb = new double[cfg.classes().size()][rungs];
         density = new double[cfg.classes().size()][rungs];
-        double worth = 0;
         for (int c = 0; c < kb.length; c++) {
             for (int r = 0; r < rungs; r++) kb[c][r] = media.rungKb().get(r) * cfg.classes().get(c).scale();
             for (int r = 0; r < rungs; r++) density[c][r] = slope(c, r);
-            worth += cfg.classes().get(c).worth() / kb.length;
         }
-        meanWorth = worth;
-        double streams = 0;
-        for (double kind : media.kindStreams()) streams += kind / media.kindStreams().size();
-        cap = streams > 0 ? streams * meanWorth : Double.MAX_VALUE;
+        meanWorth = cfg.classes().stream().mapToDouble(SessionClass::worth).average().orElse(1);
+        OptionalDouble streams = media.kindStreams().stream().mapToDouble(kind -> kind).average();
+        cap = streams.isPresent() ? streams.getAsDouble() * meanWorth : Double.MAX_VALUE;
         earned = new double[kb.length];
         offered = new double[kb.length];
         boost = new double[kb.length];
@@ -167,14 +165,15 @@
     private void place(Session s) {
         boolean first = s.attempts == 0;
         double left = s.request.giveUpMs() - now;
-        boolean allowed = left >= LEAST_LEFT_MS && (first || mayRepeat(s)) && seatFree(s);
+        // rule 5: sessions of one title and class, set-ups included
+        boolean seated = s.k.seats() <= 0 || seats.getOrDefault(s.seatKey(), 0) < s.k.seats();
+        boolean allowed = left >= LEAST_LEFT_MS && (first || mayRepeat(s)) && seated;
         Server h = allowed ? choose(s) : null;
         if (h == null) {
             answer(s);
             return;
         }
         if (!first) extras.addLast(now);
-        double timeout = Math.min(left, timeout(s));
         s.server = h;
         s.sentAt = now;
         s.tried.add(h.id);
@@ -184,7 +183,7 @@
         count(s, +1);
         if (s.rungSent || s.rung != s.k.lowestRung()) out.rung(s.request.id(), s.rung);
         s.rungSent |= s.rung != s.k.lowestRung();
-        out.attempt(s.request.id(), h.id, timeout);
+        out.attempt(s.request.id(), h.id, Math.min(left, timeout(s)));
     }
 
     private double timeout(Session s) {
@@ -205,11 +204,6 @@
         return extras.size() + 1 <= cfg.rules().extraFree() + cfg.rules().extraRatio() * taken.size();
     }
 
-    /** Rule 5: sessions of one title and class, set-ups included. */
-    private boolean seatFree(Session s) {
-        return s.k.seats() <= 0 || seats.getOrDefault(s.seatKey(), 0) < s.k.seats();
-    }
-
     /** The final answer, at once: a refusal where that is harmless, else a failure. */
     private void answer(Session s) {
         sessions.remove(s.request.id());
@@ -298,10 +292,9 @@
         holders.removeIf(h -> load(h, s) / capacity(h) > cap);
         if (cfg.zoneCost() > 0 && holders.stream().anyMatch(h -> h.zone == cfg.zone()))
             holders.removeIf(h -> h.zone != cfg.zone());
-        int want = wanted(s);
+        int want = wanted(s), ties = 0;
         Server best = null;
         double bestShare = 0;
-        int ties = 0;
         for (int pass = 0; pass < 2 && best == null; pass++) {
             for (Server h : holders) {
                 boolean fits = pass == 0 ? fits(h, added(h, s, want)) : fitting(h, s, want) >= 0;
@@ -314,15 +307,15 @@
                 }
             }
         }
-        if (best != null) s.rung = fitting(best, s, want);
-        if (best != null) return best;
+        if (best != null) {
+            s.rung = fitting(best, s, want);
+            return best;
+        }
         // No rung fits: lower playing sessions of less worth per kB, if one holder's room can be made so.
         holders.sort(Comparator.comparingDouble((Server h) -> -capacity(h) * s.k.worth() / load(h, s)));
         for (Server h : holders) {
-            if (makeRoom(h, s)) {
-                s.rung = s.k.lowestRung();
-                return h;
-            }
+            s.rung = s.k.lowestRung();
+            if (makeRoom(h, s)) return h;
         }
         return null;
     }
@@ -333,8 +326,7 @@
     }
 
     private boolean groupAllows(Session s, Server h) {
-        boolean bound = s.mayHaveRun && s.k.effect() == Effect.TOKEN && s.tokenServer != null;
-        if (!bound || s.k.group() == Group.ALL) return true;
+        if (!s.mayHaveRun || s.k.effect() != Effect.TOKEN || s.k.group() == Group.ALL) return true;
         return s.k.group() == Group.ZONE ? h.zone == s.tokenServer.zone : h.cell == s.tokenServer.cell;
     }
 
@@ -351,37 +343,27 @@
         double turn = 1 / perMs;
         double round = turn * Math.max(1, cfg.controllers());
         if (!cold) return now - h.lastSent > round;
-        double phase = Math.IEEEremainder(now - turn * cfg.self(), round);
-        phase = phase < 0 ? phase + round : phase;
-        return phase < turn / 2 && now - h.lastSent > turn / 2;
+        double phase = (now - turn * cfg.self()) % round;
+        return (phase + round) % round < turn / 2 && now - h.lastSent > turn / 2;
     }
 
     /** Step 2: the weighted count with the newcomer, and with attempts lost of late. */
     private double load(Server h, Session s) {
         while (!h.lost.isEmpty() && now - h.lost.peekFirst() > LOST_MS) h.lost.removeFirst();
-        double mean = h.ownKb > 0 && h.sessions.size() > 2 ? h.ownKb / h.sessions.size() : meanKb();
-        double peers = h.peerStreams >= 0 ? h.peerStreams : peerKb(h) / mean;
+        double peers = h.peerStreams >= 0 ? h.peerStreams : peerKb(h) / meanKb();
         return h.ownWeight + (peers + h.lost.size()) * meanWorth + s.k.worth();
     }
 
     private double meanKb() {
-        double sum = 0;
-        int n = 0;
-        for (Server h : servers.values()) {
-            sum += h.ownKb;
-            n += h.sessions.size();
-        }
-        return n > 0 ? sum / n : media.rungKb().get(media.rungKb().size() / 2);
+        double sum = servers.values().stream().mapToDouble(h -> h.ownKb).sum();
+        int n = servers.values().stream().mapToInt(h -> h.sessions.size()).sum();
+        return n > 0 && sum > 0 ? sum / n : media.rungKb().get(media.rungKb().size() / 2);
     }
 
     /** C_h: the link over the mean link. */
     private double capacity(Server h) {
-        double sum = 0, n = 0;
-        for (Server other : servers.values()) {
-            sum += other.ready ? other.link : 0;
-            n += other.ready ? 1 : 0;
-        }
-        return sum <= 0 ? 1 : h.link * n / sum;
+        DoubleStream links = servers.values().stream().filter(o -> o.ready).mapToDouble(o -> o.link);
+        return h.link / links.average().orElse(h.link);
     }
 
     /** The rung that the present price leaves the viewer: the top one while room is not scarce. */
@@ -418,10 +400,7 @@
         return use;
     }
 
-    /**
-     * Peers' demand. What was heard fades to the average as it ages: a server that looked full is otherwise
-     * never sent to again, and so never heard of again.
-     */
+    /** Peers' demand. Readings fade to the average, or a server read as full would never be tried again. */
     private double peerKb(Server h) {
         double trust = trust(h.heardAt);
         double unheard = trust > 0.99 ? 0 : Math.max(0, averageUse() * h.link - h.ownKb);
@@ -470,8 +449,7 @@
     private void heard(Server h, double use, double late, double gain, boolean atLeast) {
         // read before the last lowering took effect: says nothing of now
         if (now - late < Math.max(h.relievedAt, h.rack.relievedAt) + REACT_MS) return;
-        double asked = Math.min(MOST_USE, Math.max(0, use)) * h.link;
-        double peers = Math.max(0, asked - h.ownAt(now - late));
+        double peers = Math.max(0, Math.min(MOST_USE, use) * h.link - h.ownAt(now - late));
         if (h.heardAt <= 0) h.peerKb = peers;
         else if (!atLeast || peers > h.peerKb) h.peerKb += gain * (peers - h.peerKb);
         h.heardAt = now;
@@ -588,7 +566,7 @@
         balance(s);
         reprice();
         int playing = sessions.size();
-        raiseTokens = Math.min(Math.max(1, playing * 0.05), raiseTokens + RAISE_PACE * playing * s);
+        raiseTokens = Math.min(Math.max(3, playing * 0.05), raiseTokens + RAISE_PACE * playing * s);
         for (Rack rack : racks.values()) {
             double quiet = now - rack.heardAt - (rack.told ? 2 * media.noteEveryMs() : 0);
             double pace = rack.bias > BIAS_USUAL ? BIAS_FAST : 1;
@@ -690,7 +668,7 @@
         return can;
     }
 
-    /** Raises own sessions to what the price leaves them, sparingly, where room has lasted. */
+    /** Raises own sessions to what the price leaves them, in one change, sparingly, where room has lasted. */
     private void raise() {
         List<Session> low = new ArrayList<>();
         for (Session s : sessions.values()) {
@@ -700,18 +678,22 @@
         }
         low.sort(Comparator.comparingDouble(s -> -density[s.c][s.rung + 1] * s.discount()));
         for (Session s : low) {
-            if (raiseTokens < 1) return;
-            double more = kb[s.c][s.rung + 1] - kb[s.c][s.rung];
-            if (use(s.server) + more / s.server.link <= RAISE
-                    && uplinkUse(s.server.rack) + s.server.rack.part(more) <= RAISE) {
-                raiseTokens--;
-                shift(s, s.rung + 1);
-                s.changedAt = now;
-                out.rung(s.request.id(), s.rung);
-            }
+            int rung = wanted(s);
+            while (rung > s.rung && (raiseTokens < rung - s.rung || !roomFor(s, rung))) rung--;
+            if (rung == s.rung) continue;
+            raiseTokens -= rung - s.rung;
+            shift(s, rung);
+            s.changedAt = now;
+            out.rung(s.request.id(), rung);
         }
     }
 
+    private boolean roomFor(Session s, int rung) {
+        double more = kb[s.c][rung] - kb[s.c][s.rung];
+        return use(s.server) + more / s.server.link <= RAISE
+                && uplinkUse(s.server.rack) + s.server.rack.part(more) <= RAISE;
+    }
+
     private void shift(Session s, int rung) {
         count(s, -1);
         s.rung = rung;
@@ -725,12 +707,8 @@
     }
 
     private boolean manyBad() {
-        int bad = 0, all = 0;
-        for (Server h : servers.values()) {
-            all += h.ready ? 1 : 0;
-            bad += h.ready && !healthy(h) ? 1 : 0;
-        }
-        return bad >= ALL_BAD * all;
+        long all = servers.values().stream().filter(h -> h.ready).count();
+        return servers.values().stream().filter(h -> h.ready && !healthy(h)).count() >= ALL_BAD * all;
     }
 
     /** Judges a server by how an attempt ended: symptoms, whatever their cause. */
@@ -844,10 +822,7 @@
         tenantAt[e.tenant()] = now;
     }
 
-    /**
-     * What a tenant's sessions are worth on average, as a part of the class's worth: which of them lie beyond
-     * its share is told nowhere, so all are taken alike.
-     */
+    /** A tenant's mean worth as a part of the class's: which sessions lie beyond its share is not told. */
     private double tenantWorth(int tenant) {
         if (tenant >= cfg.tenants().size()) return 1;
         double quota = cfg.tenants().get(tenant).quotaPerSecond() / Math.max(1, cfg.controllers());
@@ -861,17 +836,13 @@
      * weigh more, by the stated weight; off where none is stated.
      */
     private void balance(double s) {
-        double got = 0, asked = 0;
         for (Session session : sessions.values()) {
             if (!session.playing) continue;
             double worth = session.k.worth() * s;
             earned[session.c] += worth * media.rungWorth().get(session.rung);
             offered[session.c] += worth * media.rungWorth().get(session.top());
         }
-        for (int c = 0; c < kb.length; c++) {
-            got += earned[c];
-            asked += offered[c];
-        }
+        double got = Arrays.stream(earned).sum(), asked = Arrays.stream(offered).sum();
         for (int c = 0; c < kb.length; c++) {
             double lag = offered[c] <= 0 ? 0 : got / asked - earned[c] / offered[c];
             double weight = cfg.worstClassWeight() / (1 - cfg.worstClassWeight()) * asked / offered[c];
