--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -39,10 +39,10 @@
         UNTESTED = 0.85, // part asked of an uplink above which whole delivery shows that it carries more
         REACT_MS = 400, // ms for all managers' lowerings to show, beside a note's lateness
         LOST_MS = 8000, // ms for which a lost attempt counts as load: a hung server must not look empty
-        SUSPEND_MS = 1500, // ms of the first suspension after a failed set-up; doubles with each
+        SUSPEND_MS = 2500, // ms of the first suspension after a failed set-up; doubles with each
         SUSPEND_DOUBLINGS = 3, // doublings of the suspension at most: trouble lasts seconds
         ALL_BAD = 0.6, // part of the servers suspended at which suspensions are void: the fault is elsewhere
-        COLD_MARGIN = 0.6, // part of a cold server's permitted pace that all managers together use
+        COLD_MARGIN = 0.9, // part of a cold server's permitted pace that all managers together use
         BLIND_MS = 4000, // ms after a start without hand-over in which any server may be cold unknown to us
         AIM_PART = 0.45, // first time-outs as a part of the class's aim: two attempts fit in it
         LEAST_TIMEOUT_MS = 250, // ms; shortest time-out of an attempt
@@ -504,7 +504,7 @@
             strike(h);
         } else if (rackShort && h.rack.uplinkKb > 0 && !h.rack.told) {
             double bias = asked * h.rack.uplinkKb / Math.max(1, h.rack.asked(now));
-            h.rack.bias = Math.min(BIAS_MOST, h.rack.bias + 0.5 * Math.max(0, bias - h.rack.bias));
+            h.rack.bias = Math.min(BIAS_MOST, h.rack.bias + 0.25 * Math.max(0, bias - h.rack.bias));
             h.rack.heardAt = now;
         } else {
             atLeast(h, asked);
