--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -54,6 +54,7 @@
         DEAD_SHARE = 0.2, // share delivered under which a server plays nothing, unless its link explains it
         TROUBLE_S = 8, // s that trouble with a server goes on, about, once it is seen
         LIFE_S = 35, // s that a session lasts, before any has ended here
+        MOST_RIGHT = 1.5, // most by which notes correct a link against its weight: they differ by a third
         LAG = 0.1, // part served behind the whole at which the worst class weighs fully
         MOST_BOOST = 1, // most that its weight grows by: the stated weight counts the worst class alone
         ASK_AGAIN_MS = 1500, // ms between calls for the list after a failed one
@@ -87,8 +88,7 @@
         media = settings.media();
         out = actions;
         now = nowMs;
-        startedAt = nowMs;
-        tickedAt = nowMs;
+        startedAt = tickedAt = nowMs;
         random = new SplittableRandom(seed);
         int rungs = media.rungKb().size();
         if (rungs == 0 || media.rungWorth().size() != rungs || cfg.classes().isEmpty())
@@ -175,10 +175,9 @@
         }
         if (!first) extras.addLast(now);
         s.server = h;
-        s.sentAt = now;
+        s.sentAt = h.lastSent = now;
         s.tried.add(h.id);
         s.attempts++;
-        h.lastSent = now;
         h.out++;
         count(s, +1);
         if (s.rungSent || s.rung != s.k.lowestRung()) out.rung(s.request.id(), s.rung);
@@ -220,11 +219,10 @@
     private void onStarted(Started e) {
         Session s = sessions.get(e.id());
         if (s == null || s.server == null) return;
-        Server h = s.server;
         s.playing = true;
         s.startedAt = now;
-        h.out--;
-        h.strikes = Math.max(0, h.strikes - 1);
+        s.server.out--;
+        s.server.strikes = Math.max(0, s.server.strikes - 1);
         double usual = setupMs < 0 ? e.elapsedMs() / 2 : setupMs;
         double gain = setupMs < 0 ? 1 : 0.1;
         setupDeviation += gain * (Math.abs(e.elapsedMs() - usual) - setupDeviation);
@@ -293,13 +291,17 @@
         if (cfg.zoneCost() > 0 && holders.stream().anyMatch(h -> h.zone == cfg.zone()))
             holders.removeIf(h -> h.zone != cfg.zone());
         int want = wanted(s), ties = 0;
+        double mean = holders.stream().mapToDouble(h -> load(h, s) / capacity(h)).average().orElse(1);
         Server best = null;
         double bestShare = 0;
         for (int pass = 0; pass < 2 && best == null; pass++) {
             for (Server h : holders) {
                 boolean fits = pass == 0 ? fits(h, added(h, s, want)) : fitting(h, s, want) >= 0;
                 if (!fits) continue;
-                double share = capacity(h) * s.k.worth() / load(h, s);
+                // C_h as what was heard corrects it: a link fuller than its count says is a smaller one
+                double seen = averageUse() / Math.max(0.05, use(h)) * load(h, s) / capacity(h) / mean;
+                double right = capacity(h) * Math.max(1 / MOST_RIGHT, Math.min(MOST_RIGHT, seen));
+                double share = right * s.k.worth() / load(h, s);
                 ties = share == bestShare ? ties + 1 : 1;
                 if (share > bestShare || share == bestShare && random.nextInt(ties) == 0) {
                     best = h;
@@ -395,9 +397,8 @@
     private double use(Server h) {
         double use = (h.ownKb + peerKb(h)) / h.link;
         double silent = (now - h.heardAt - 2 * media.noteEveryMs()) / 1000;
-        if (media.noteEveryMs() > 0 && silent > 0 && h.heardAt > 0)
-            use += Math.min(SILENCE_MOST, SILENCE_GROWTH * silent);
-        return use;
+        boolean grows = media.noteEveryMs() > 0 && silent > 0 && h.heardAt > 0;
+        return use + (grows ? Math.min(SILENCE_MOST, SILENCE_GROWTH * silent) : 0);
     }
 
     /** Peers' demand. Readings fade to the average, or a server read as full would never be tried again. */
@@ -609,8 +610,8 @@
     }
 
     /**
-     * Moves sessions off a server that plays nothing, whatever its link says, where that is worth its price.
-     * Should cover hangs, dead disks and cut uplinks of one server; hurts where short delivery is misread.
+     * Moves sessions off a server that plays nothing, whatever its link says, if worth the price. Should cover
+     * hangs, dead disks, one server's cut uplink; hurts where short delivery is misread.
      */
     private void evacuate(Server h) {
         boolean worthIt = TROUBLE_S > cfg.moveCost() * lifeS + 1 && averageUse() < MARK;
@@ -741,8 +742,7 @@
     }
 
     private void onProbe(ProbeEnded e) {
-        Server h = servers.get(e.server());
-        if (h == null) return;
+        Server h = server(e.server());
         report(h, e.load());
         judge(h, e.outcome());
     }
@@ -833,7 +833,7 @@
 
     /**
      * The result counts the worst-served class once more, so the steps of a class served less than the whole
-     * weigh more, by the stated weight; off where none is stated.
+     * weigh more, by the stated weight, if any.
      */
     private void balance(double s) {
         for (Session session : sessions.values()) {
