--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -54,7 +54,7 @@
         DEAD_SHARE = 0.2, // share delivered under which a server plays nothing, unless its link explains it
         TROUBLE_S = 8, // s that trouble with a server goes on, about, once it is seen
         LIFE_S = 35, // s that a session lasts, before any has ended here
-        MOST_RIGHT = 1.5, // most by which notes correct a link against its weight: they differ by a third
+        MOST_RIGHT = 1.5, // most by which notes correct a link against its weight: a third is usual
         LAG = 0.1, // part served behind the whole at which the worst class weighs fully
         MOST_BOOST = 1, // most that its weight grows by: the stated weight counts the worst class alone
         ASK_AGAIN_MS = 1500, // ms between calls for the list after a failed one
@@ -186,9 +186,8 @@
     }
 
     private double timeout(Session s) {
-        double most = Math.max(LEAST_TIMEOUT_MS, AIM_PART * s.k.aimMs());
-        return setupMs < 0 ? most
-                : Math.max(LEAST_TIMEOUT_MS, Math.min(most, setupMs + TIMEOUT_DEVIATIONS * setupDeviation));
+        double usual = setupMs < 0 ? Double.MAX_VALUE : setupMs + TIMEOUT_DEVIATIONS * setupDeviation;
+        return Math.max(LEAST_TIMEOUT_MS, Math.min(AIM_PART * s.k.aimMs(), usual));
     }
 
     /** Rules 2 and 6: a further attempt only where none can have run, and within sendCap and the budget. */
@@ -223,8 +222,7 @@
         s.startedAt = now;
         s.server.out--;
         s.server.strikes = Math.max(0, s.server.strikes - 1);
-        double usual = setupMs < 0 ? e.elapsedMs() / 2 : setupMs;
-        double gain = setupMs < 0 ? 1 : 0.1;
+        double usual = setupMs < 0 ? e.elapsedMs() / 2 : setupMs, gain = setupMs < 0 ? 1 : 0.1;
         setupDeviation += gain * (Math.abs(e.elapsedMs() - usual) - setupDeviation);
         setupMs = usual + gain * (e.elapsedMs() - usual);
     }
@@ -247,11 +245,9 @@
         Server h = servers.get(e.server());
         Session s = sessions.get(e.id());
         boolean known = s != null && s.server != null && s.server.id == e.server();
-        if (known) {
-            count(s, -1);
-            s.server = null;
-            if (!s.playing) h.out--;
-        }
+        if (known) count(s, -1);
+        if (known && !s.playing) h.out--;
+        if (known) s.server = null;
         if (h != null) {
             report(h, e.load());
             judge(h, e.outcome());
@@ -291,6 +287,7 @@
         if (cfg.zoneCost() > 0 && holders.stream().anyMatch(h -> h.zone == cfg.zone()))
             holders.removeIf(h -> h.zone != cfg.zone());
         int want = wanted(s), ties = 0;
+        double used = holders.stream().mapToDouble(this::tightness).average().orElse(1);
         double mean = holders.stream().mapToDouble(h -> load(h, s) / capacity(h)).average().orElse(1);
         Server best = null;
         double bestShare = 0;
@@ -298,8 +295,8 @@
             for (Server h : holders) {
                 boolean fits = pass == 0 ? fits(h, added(h, s, want)) : fitting(h, s, want) >= 0;
                 if (!fits) continue;
-                // C_h as what was heard corrects it: a link fuller than its count says is a smaller one
-                double seen = averageUse() / Math.max(0.05, use(h)) * load(h, s) / capacity(h) / mean;
+                // C_h as notes correct it: a link or uplink fuller than its count says is smaller
+                double seen = used / tightness(h) * load(h, s) / capacity(h) / mean;
                 double right = capacity(h) * Math.max(1 / MOST_RIGHT, Math.min(MOST_RIGHT, seen));
                 double share = right * s.k.worth() / load(h, s);
                 ties = share == bestShare ? ties + 1 : 1;
@@ -387,6 +384,11 @@
         return kb[s.c][rung] * (joins ? media.join() : 1);
     }
 
+    /** An uplink counts only where its use is told: guessed from delivery it made choices worse. */
+    private double tightness(Server h) {
+        return Math.max(0.05, Math.max(use(h), h.rack.told ? uplinkUse(h.rack) : 0));
+    }
+
     private boolean fits(Server h, double addedKb) {
         return use(h) + addedKb / h.link <= MARK && uplinkUse(h.rack) + h.rack.part(addedKb) <= MARK;
     }
@@ -567,7 +569,8 @@
         balance(s);
         reprice();
         int playing = sessions.size();
-        raiseTokens = Math.min(Math.max(3, playing * 0.05), raiseTokens + RAISE_PACE * playing * s);
+        double most = Math.max(media.rungKb().size(), playing * 0.05);
+        raiseTokens = Math.min(most, raiseTokens + RAISE_PACE * playing * s);
         for (Rack rack : racks.values()) {
             double quiet = now - rack.heardAt - (rack.told ? 2 * media.noteEveryMs() : 0);
             double pace = rack.bias > BIAS_USUAL ? BIAS_FAST : 1;
@@ -610,8 +613,8 @@
     }
 
     /**
-     * Moves sessions off a server that plays nothing, whatever its link says, if worth the price. Should cover
-     * hangs, dead disks, one server's cut uplink; hurts where short delivery is misread.
+     * Moves sessions off a server that plays nothing, whatever its link says, if worth the price. Should also
+     * cover dead disks and one server's cut uplink; hurts where short delivery is misread.
      */
     private void evacuate(Server h) {
         boolean worthIt = TROUBLE_S > cfg.moveCost() * lifeS + 1 && averageUse() < MARK;
@@ -680,8 +683,9 @@
         low.sort(Comparator.comparingDouble(s -> -density[s.c][s.rung + 1] * s.discount()));
         for (Session s : low) {
             int rung = wanted(s);
-            while (rung > s.rung && (raiseTokens < rung - s.rung || !roomFor(s, rung))) rung--;
+            while (rung > s.rung && !roomFor(s, rung)) rung--;
             if (rung == s.rung) continue;
+            if (raiseTokens < rung - s.rung) return;
             raiseTokens -= rung - s.rung;
             shift(s, rung);
             s.changedAt = now;
@@ -831,10 +835,7 @@
         return inside + cfg.overShareWorth() * (1 - inside);
     }
 
-    /**
-     * The result counts the worst-served class once more, so the steps of a class served less than the whole
-     * weigh more, by the stated weight, if any.
-     */
+    /** The result counts the worst class once more: steps of a class served less weigh more, as is stated. */
     private void balance(double s) {
         for (Session session : sessions.values()) {
             if (!session.playing) continue;
