--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -16,7 +16,7 @@
         NEVER = Double.NEGATIVE_INFINITY, // clock time before all others
         MARK = 0.92, // part of a link or uplink that set-ups may fill; true rates swing about the ladder
         SHED = 1.02, // part asked above which playing sessions are lowered: really short, not nearly
-        RAISE = 0.80, // part asked up to which they are raised: well under MARK, or it would be undone
+        RAISE = 0.74, // part asked up to which they are raised: well under MARK, or it would be undone
         CALM_MS = 6000, // ms that room must have lasted before a raise: two rounds of notes
         RAISE_PACE = 0.03, // raises per session and second: in all under 3 steps a session-minute
         TICK_MS = 250, // ms between looks at all links: shorter than a note's lateness
