A decision's cost grows with the fleet, not its square; unheard servers tie at random

Means and sums are now kept where they change; an unheard server is taken for level with the newcomer included, and shares within 2% tie by chance in proportion to links. Growth of estimates in silence went out: fading to the average covers it.

--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -2,7 +2,6 @@
 
 import calicovale.ControllerApi.*;
 import java.util.*;
-import java.util.stream.DoubleStream;
 
 /**
  * All decisions of one session manager: who plays, where and at what quality. Events, actions and settings
@@ -14,6 +13,7 @@
     // Constants: each with its unit (parts and counts have none) and its reason.
     private static final double
         NEVER = Double.NEGATIVE_INFINITY, // clock time before all others
+        TIE = 0.02, // part by which shares may differ and still tie: readings are rougher than that
         MARK = 0.92, // part of a link or uplink that set-ups may fill; true rates swing about the ladder
         SHED = 1.02, // part asked above which playing sessions are lowered: really short, not nearly
         RAISE = 0.74, // part asked up to which they are raised: well under MARK, or it would be undone
@@ -25,10 +25,9 @@
         REPORT_LATE_MS = 500, // ms by which such a report is late, about: stated nowhere
         PRIOR_USE = 0.6, // part asked of a link while nothing at all has been heard
         PRIOR_WEIGHT = 0.05, // its weight against all links: matters only when next to nothing is heard
+        LEAST_TRUST = 0.001, // say of a reading under which it is dropped from the average: nothing by then
         FADE_MS = 4000, // ms in which a reading older than two notes loses two thirds of its say
         MOST_USE = 3, // highest part asked that is believed: above it a link is hopeless anyway
-        SILENCE_GROWTH = 0.01, // part a second by which silence raises an estimate: careful, not blind
-        SILENCE_MOST = 0.08, // most that silence adds
         WHOLE_SHARE = 0.98, // share delivered that counts as whole (the wire's own figure)
         SHORT_FRESH_MS = 2200, // ms for which a note of short delivery holds: they come once a second
         BIAS_FALL = 0.01, // fall a second of a rack's correction while nothing short is heard
@@ -39,8 +38,8 @@
         UNTESTED = 0.85, // part asked of an uplink above which whole delivery shows that it carries more
         REACT_MS = 400, // ms for all managers' lowerings to show, beside a note's lateness
         LOST_MS = 8000, // ms for which a lost attempt counts as load: a hung server must not look empty
-        SUSPEND_MS = 2500, // ms of the first suspension after a failed set-up; doubles with each
-        SUSPEND_DOUBLINGS = 3, // doublings of the suspension at most: trouble lasts seconds
+        SUSPEND_MS = 2500, // ms of the first suspension after a failed set-up; doubles with each,
+        SUSPEND_DOUBLINGS = 3, // so often at most: trouble lasts seconds
         ALL_BAD = 0.6, // part of the servers suspended at which suspensions are void: the fault is elsewhere
         COLD_MARGIN = 0.9, // part of a cold server's permitted pace that all managers together use
         BLIND_MS = 4000, // ms after a start without hand-over in which any server may be cold unknown to us
@@ -48,15 +47,13 @@
         LEAST_TIMEOUT_MS = 250, // ms; shortest time-out of an attempt
         TIMEOUT_DEVIATIONS = 8, // time-out over the usual set-up time, in its mean deviations
         LEAST_LEFT_MS = 100, // ms left to the viewer under which no attempt is worth sending
-        RETRY_MS = 400, // ms; shortest retry-after: about a departure at a busy server
-        RETRY_SPREAD_MS = 400, // ms over which retry-afters spread, so that refused viewers come apart
+        RETRY_MS = 400, // ms; shortest retry-after, about a departure at a busy server; spread to twice
         RACK_SHORT = 0.6, // part of a rack's used servers that is short when its uplink is
         DEAD_SHARE = 0.2, // share delivered under which a server plays nothing, unless its link explains it
         TROUBLE_S = 8, // s that trouble with a server goes on, about, once it is seen
         LIFE_S = 35, // s that a session lasts, before any has ended here
         MOST_RIGHT = 1.5, // most by which notes correct a link against its weight: a third is usual
         LAG = 0.1, // part served behind the whole at which the worst class weighs fully
-        MOST_BOOST = 1, // most that its weight grows by: the stated weight counts the worst class alone
         ASK_AGAIN_MS = 1500, // ms between calls for the list after a failed one
         PRIOR_SESSIONS = 1, // sessions of each class under which the price is left at 0: too few to tell
         TENANT_S = 5; // s over which a tenant's rate is averaged
@@ -67,17 +64,17 @@
     private final SplittableRandom random;
     private final TreeMap<Long, Server> servers = new TreeMap<>();
     private final TreeMap<Integer, Rack> racks = new TreeMap<>();
+    private final LinkedHashSet<Server> heardOf = new LinkedHashSet<>();
     private final LinkedHashMap<String, Session> sessions = new LinkedHashMap<>();
     private final Map<String, Integer> seats = new HashMap<>();
     private final ArrayDeque<Double> taken = new ArrayDeque<>();
     private final ArrayDeque<Double> extras = new ArrayDeque<>();
     private final double[][] kb, density;
     private final double[] tenantRate, tenantAt, earned, offered, boost;
-    private final double meanWorth, cap;
-    private final double startedAt;
+    private final double meanWorth, cap, startedAt;
     private double now, average, price, raiseTokens, tickedAt, setupDeviation, setupMs = -1, lifeS = LIFE_S;
-    private double averagedAt = NEVER, pricedAt = NEVER;
-    private long listVersion = -1;
+    private double averagedAt = NEVER, pricedAt = NEVER, meanLink = 1, links, ownKb;
+    private long listVersion = -1, changes, held;
     private boolean handedOver;
 
     /** Starts a controller; {@code seed} feeds its only random source. */
@@ -131,6 +128,7 @@
     /** Takes one event; the actions it leads to have been called when this returns. */
     public void handle(double nowMs, Event event) {
         now = nowMs;
+        changes++;
         if (event instanceof Request e) onRequest(e);
         else if (event instanceof Takeover e) onTakeover(e);
         else if (event instanceof Started e) onStarted(e);
@@ -207,12 +205,9 @@
         sessions.remove(s.request.id());
         boolean harmless = !s.mayHaveRun || s.k.effect() == Effect.PURE
                 || s.k.effect() == Effect.TOKEN && s.k.group() == Group.ALL;
-        if (harmless) {
-            double after = RETRY_MS + RETRY_SPREAD_MS * random.nextDouble();
-            out.refuse(s.request.id(), Math.min(cfg.limits().retryAfterMs(), after));
-        } else {
-            out.fail(s.request.id());
-        }
+        double after = RETRY_MS * (1 + random.nextDouble());
+        if (harmless) out.refuse(s.request.id(), Math.min(cfg.limits().retryAfterMs(), after));
+        else out.fail(s.request.id());
     }
 
     private void onStarted(Started e) {
@@ -230,9 +225,8 @@
     private void onTakeover(Takeover e) {
         check(e.request());
         handedOver = true;
-        Server h = server(e.server());
         Session s = new Session(e.request());
-        s.server = h;
+        s.server = server(e.server());
         s.playing = s.rungSent = true;
         s.attempts = 1;
         s.startedAt = now;
@@ -286,31 +280,30 @@
         holders.removeIf(h -> load(h, s) / capacity(h) > cap);
         if (cfg.zoneCost() > 0 && holders.stream().anyMatch(h -> h.zone == cfg.zone()))
             holders.removeIf(h -> h.zone != cfg.zone());
-        int want = wanted(s), ties = 0;
+        int want = wanted(s);
+        double tied = 0;
         double used = holders.stream().mapToDouble(this::tightness).average().orElse(1);
         double mean = holders.stream().mapToDouble(h -> load(h, s) / capacity(h)).average().orElse(1);
         Server best = null;
         double bestShare = 0;
         for (int pass = 0; pass < 2 && best == null; pass++) {
             for (Server h : holders) {
-                boolean fits = pass == 0 ? fits(h, added(h, s, want)) : fitting(h, s, want) >= 0;
-                if (!fits) continue;
+                if (pass == 0 ? !fits(h, added(h, s, want)) : fitting(h, s, want) < 0) continue;
                 // C_h as notes correct it: a link or uplink fuller than its count says is smaller
                 double seen = used / tightness(h) * load(h, s) / capacity(h) / mean;
                 double right = capacity(h) * Math.max(1 / MOST_RIGHT, Math.min(MOST_RIGHT, seen));
                 double share = right * s.k.worth() / load(h, s);
-                ties = share == bestShare ? ties + 1 : 1;
-                if (share > bestShare || share == bestShare && random.nextInt(ties) == 0) {
-                    best = h;
-                    bestShare = share;
-                }
+                if (share < bestShare * (1 - TIE)) continue;
+                if (share > bestShare * (1 + TIE)) tied = 0;
+                tied += capacity(h);
+                if (random.nextDouble() * tied < capacity(h)) best = h;
+                bestShare = Math.max(bestShare, share);
             }
         }
-        if (best != null) {
-            s.rung = fitting(best, s, want);
-            return best;
-        }
+        if (best != null) s.rung = fitting(best, s, want);
+        if (best != null) return best;
         // No rung fits: lower playing sessions of less worth per kB, if one holder's room can be made so.
+        holders.removeIf(h -> !h.rack.used());
         holders.sort(Comparator.comparingDouble((Server h) -> -capacity(h) * s.k.worth() / load(h, s)));
         for (Server h : holders) {
             s.rung = s.k.lowestRung();
@@ -349,34 +342,33 @@
     /** Step 2: the weighted count with the newcomer, and with attempts lost of late. */
     private double load(Server h, Session s) {
         while (!h.lost.isEmpty() && now - h.lost.peekFirst() > LOST_MS) h.lost.removeFirst();
-        double peers = h.peerStreams >= 0 ? h.peerStreams : peerKb(h) / meanKb();
-        return h.ownWeight + (peers + h.lost.size()) * meanWorth + s.k.worth();
+        double known = h.peerStreams >= 0 ? h.peerStreams : h.peerKb / meanKb();
+        double trust = trust(h.heardAt);
+        // Unheard servers are taken for level, newcomer included: with counts in proportion to links all
+        // managers would send to the one with the largest link.
+        double level = capacity(h) * (averageUse() * meanLink / meanKb() * meanWorth + s.k.worth());
+        double peers = trust * known * meanWorth
+                + (1 - trust) * Math.max(0, level - h.ownWeight - s.k.worth());
+        return h.ownWeight + peers + h.lost.size() * meanWorth + s.k.worth();
     }
 
     private double meanKb() {
-        double sum = servers.values().stream().mapToDouble(h -> h.ownKb).sum();
-        int n = servers.values().stream().mapToInt(h -> h.sessions.size()).sum();
-        return n > 0 && sum > 0 ? sum / n : media.rungKb().get(media.rungKb().size() / 2);
+        return ownKb > 0 ? ownKb / held : media.rungKb().get(media.rungKb().size() / 2);
     }
 
     /** C_h: the link over the mean link. */
-    private double capacity(Server h) {
-        DoubleStream links = servers.values().stream().filter(o -> o.ready).mapToDouble(o -> o.link);
-        return h.link / links.average().orElse(h.link);
-    }
+    private double capacity(Server h) { return h.link / meanLink; }
 
     /** The rung that the present price leaves the viewer: the top one while room is not scarce. */
     private int wanted(Session s) {
         int rung = s.k.lowestRung();
-        int top = s.top();
-        while (rung < top && density[s.c][rung + 1] * s.discount() >= price) rung++;
+        while (rung < s.top() && density[s.c][rung + 1] * s.discount() >= price) rung++;
         return rung;
     }
 
     private int fitting(Server h, Session s, int want) {
-        int rung = want;
-        while (rung >= s.k.lowestRung() && !fits(h, added(h, s, rung))) rung--;
-        return rung >= s.k.lowestRung() ? rung : -1;
+        for (int rung = want; rung >= s.k.lowestRung(); rung--) if (fits(h, added(h, s, rung))) return rung;
+        return -1;
     }
 
     private double added(Server h, Session s, int rung) {
@@ -395,13 +387,8 @@
 
     // --- Estimates of links and uplinks ---
 
-    /** Part of the link asked: own sessions, peers' last seen, and a little for long silence. */
-    private double use(Server h) {
-        double use = (h.ownKb + peerKb(h)) / h.link;
-        double silent = (now - h.heardAt - 2 * media.noteEveryMs()) / 1000;
-        boolean grows = media.noteEveryMs() > 0 && silent > 0 && h.heardAt > 0;
-        return use + (grows ? Math.min(SILENCE_MOST, SILENCE_GROWTH * silent) : 0);
-    }
+    /** Part of the link asked: own sessions, and what peers ask as last seen. */
+    private double use(Server h) { return (h.ownKb + peerKb(h)) / h.link; }
 
     /** Peers' demand. Readings fade to the average, or a server read as full would never be tried again. */
     private double peerKb(Server h) {
@@ -419,19 +406,19 @@
     private double averageUse() {
         if (averagedAt == now) return average;
         averagedAt = now;
-        double asked = 0, links = 0, own = 0, all = 0;
-        for (Server h : servers.values()) {
-            if (h.ready) {
-                own += h.ownKb;
-                all += h.link;
-                asked += trust(h.heardAt) * (h.ownKb + h.peerKb);
-                links += trust(h.heardAt) * h.link;
-            }
-        }
-        double uplinks = media.racks() > 0 && media.uplinkKb() > 0 ? racks.size() * media.uplinkKb() : all;
-        double prior = PRIOR_USE * Math.min(1, uplinks / Math.max(1, all));
-        if (handedOver) prior = Math.min(prior, own * cfg.controllers() / Math.max(1, all));
-        average = all <= 0 ? prior : (asked + PRIOR_WEIGHT * all * prior) / (links + PRIOR_WEIGHT * all);
+        double asked = 0, heard = 0;
+        for (Iterator<Server> known = heardOf.iterator(); known.hasNext();) {
+            Server h = known.next();
+            double trust = h.ready ? trust(h.heardAt) : 0;
+            asked += trust * (h.ownKb + h.peerKb);
+            heard += trust * h.link;
+            if (trust < LEAST_TRUST) known.remove();
+        }
+        double uplinks = media.racks() > 0 && media.uplinkKb() > 0 ? racks.size() * media.uplinkKb() : links;
+        double prior = PRIOR_USE * Math.min(1, uplinks / Math.max(1, links));
+        if (handedOver) prior = Math.min(prior, ownKb * cfg.controllers() / Math.max(1, links));
+        double weight = PRIOR_WEIGHT * links;
+        average = links <= 0 ? prior : (asked + weight * prior) / (heard + weight);
         return average;
     }
 
@@ -455,7 +442,13 @@
         double peers = Math.max(0, Math.min(MOST_USE, use) * h.link - h.ownAt(now - late));
         if (h.heardAt <= 0) h.peerKb = peers;
         else if (!atLeast || peers > h.peerKb) h.peerKb += gain * (peers - h.peerKb);
+        hear(h);
+    }
+
+    private void hear(Server h) {
         h.heardAt = now;
+        heardOf.add(h);
+        changes++;
     }
 
     private void heardUplink(Rack rack, double use, double late, double gain) {
@@ -517,7 +510,7 @@
     /** Something showed that at least this part of the link is asked. */
     private void atLeast(Server h, double use) {
         h.peerKb = Math.max(peerKb(h), use * h.link - h.ownKb);
-        h.heardAt = now;
+        hear(h);
     }
 
     // --- Rungs of playing sessions ---
@@ -529,11 +522,12 @@
         double target = 0;
         for (Rack rack : racks.values()) {
             double links = 0, asked = 0, own = 0;
+            for (Server h : rack.servers) own += h.ownKb;
+            if (own <= 0) continue;
             for (Server h : rack.servers) {
                 if (h.ready && healthy(h)) {
                     links += h.link * MARK;
                     asked += h.ownKb + peerKb(h);
-                    own += h.ownKb;
                 }
             }
             double room = rack.uplinkKb > 0 ? Math.min(links, MARK * rack.uplinkKb / rack.bias) : links;
@@ -545,8 +539,7 @@
         for (Session s : sessions.values()) {
             if (s.server == null) continue;
             base += kb[s.c][s.k.lowestRung()];
-            int top = s.top();
-            for (int r = s.k.lowestRung() + 1; r <= top; r++)
+            for (int r = s.k.lowestRung() + 1; r <= s.top(); r++)
                 steps.merge(density[s.c][r] * s.discount(), kb[s.c][r] - kb[s.c][r - 1], Double::sum);
         }
         double used = base;
@@ -568,17 +561,17 @@
         out.timer(TICK_MS * (0.8 + 0.4 * random.nextDouble()), "tick");
         balance(s);
         reprice();
-        int playing = sessions.size();
-        double most = Math.max(media.rungKb().size(), playing * 0.05);
-        raiseTokens = Math.min(most, raiseTokens + RAISE_PACE * playing * s);
+        double most = Math.max(media.rungKb().size(), sessions.size() * 0.05);
+        raiseTokens = Math.min(most, raiseTokens + RAISE_PACE * sessions.size() * s);
         for (Rack rack : racks.values()) {
             double quiet = now - rack.heardAt - (rack.told ? 2 * media.noteEveryMs() : 0);
             double pace = rack.bias > BIAS_USUAL ? BIAS_FAST : 1;
-            boolean untested = !rack.told && quiet > CALM_MS && uplinkUse(rack) > UNTESTED;
+            boolean untested = !rack.told && quiet > CALM_MS && rack.used() && uplinkUse(rack) > UNTESTED;
             if (rack.bias > 1 && quiet > SHORT_FRESH_MS || untested)
                 rack.bias = Math.max(untested ? BIAS_LEAST : 1, rack.bias * (1 - BIAS_FALL * s * pace));
         }
         for (Server h : servers.values()) {
+            if (h.sessions.isEmpty()) continue;
             relieve(h);
             evacuate(h);
         }
@@ -596,19 +589,19 @@
             h.relievedAt = now;
             lower(new ArrayList<>(h.sessions), h.ownKb * (use - MARK) / use, Double.MAX_VALUE);
             h.peerKb *= MARK / use;
+            changes++;
         }
         Rack rack = h.rack;
         double up = uplinkUse(rack);
         if (up > SHED && rack.heardAt > rack.relievedAt) {
             rack.relievedAt = now;
-            List<Session> all = new ArrayList<>();
             double own = 0;
             for (Server other : rack.servers) {
-                all.addAll(other.sessions);
                 own += other.ownKb;
                 other.peerKb = peerKb(other) * MARK / up;
             }
-            lower(all, own * (up - MARK) / up, Double.MAX_VALUE);
+            changes++;
+            lower(rack.sessions(), own * (up - MARK) / up, Double.MAX_VALUE);
         }
     }
 
@@ -655,8 +648,7 @@
         double overLink = (use(h) - MARK) * h.link + addedKb;
         double overUp = rack.uplinkKb <= 0 ? 0
                 : (uplinkUse(rack) - MARK) * rack.uplinkKb / rack.bias + addedKb;
-        List<Session> all = new ArrayList<>();
-        for (Server other : rack.servers) all.addAll(other.sessions);
+        List<Session> all = rack.sessions();
         if (lowerable(h.sessions, value) < overLink || lowerable(all, value) < overUp) return false;
         double freed = overLink > 0 ? lower(new ArrayList<>(h.sessions), overLink, value) : 0;
         if (overUp > freed) lower(all, overUp - freed, value);
@@ -707,9 +699,7 @@
 
     // --- Health ---
 
-    private boolean healthy(Server h) {
-        return now >= h.suspendedUntil && (h.strikes == 0 || h.out == 0);
-    }
+    private boolean healthy(Server h) { return now >= h.suspendedUntil && (h.strikes == 0 || h.out == 0); }
 
     private boolean manyBad() {
         long all = servers.values().stream().filter(h -> h.ready).count();
@@ -778,6 +768,8 @@
         }
         if (e.scope() != ListScope.CHANGES)
             for (Server h : servers.values()) h.ready &= named.contains(h.id);
+        links = servers.values().stream().filter(h -> h.ready).mapToDouble(h -> h.link).sum();
+        meanLink = Math.max(1, links / Math.max(1, servers.values().stream().filter(h -> h.ready).count()));
     }
 
     private Server server(long id) {
@@ -816,6 +808,9 @@
         else h.sessions.remove(s);
         if (s.k.seats() > 0) seats.merge(s.seatKey(), sign, Integer::sum);
         h.remember(now, h.ownKb - before);
+        ownKb += h.ownKb - before;
+        held += sign;
+        changes++;
     }
 
     /** Counts a new viewer against its tenant's share; returns and repeats belong to their first try. */
@@ -847,7 +842,7 @@
         for (int c = 0; c < kb.length; c++) {
             double lag = offered[c] <= 0 ? 0 : got / asked - earned[c] / offered[c];
             double weight = cfg.worstClassWeight() / (1 - cfg.worstClassWeight()) * asked / offered[c];
-            boost[c] = lag <= 0 ? 1 : 1 + Math.min(MOST_BOOST, weight) * Math.min(1, lag / LAG);
+            boost[c] = lag <= 0 ? 1 : 1 + Math.min(1, weight) * Math.min(1, lag / LAG);
         }
     }
 
@@ -857,8 +852,7 @@
         final int c;
         final SessionClass k;
         final Set<Long> tried = new HashSet<>();
-        Server server;
-        Server tokenServer;
+        Server server, tokenServer;
         double tokenAt, sentAt, startedAt, changedAt = NEVER;
         int attempts, rung;
         boolean rungSent, playing, mayHaveRun, departed;
@@ -894,8 +888,7 @@
         int kind, zone, cell, out, strikes;
         double link, ownKb, ownWeight, peerKb, peerStreams = -1, heardAt, shortAt = NEVER;
         double deadAt = NEVER, struckAt = NEVER, suspendedUntil = NEVER;
-        double coldSince = NEVER, lastSent = NEVER;
-        double relievedAt = NEVER;
+        double coldSince = NEVER, lastSent = NEVER, relievedAt = NEVER;
 
         Server(long id) { this.id = id; }
 
@@ -918,16 +911,26 @@
         final double uplinkKb;
         double bias = 1;
         boolean told;
-        double heardAt, relievedAt = NEVER;
+        double heardAt, relievedAt = NEVER, sum, summedAt = NEVER;
+        long sumOf = -1;
 
         Rack(double uplinkKb) { this.uplinkKb = uplinkKb; }
 
+        /** All demand on the uplink; kept until something changes, since each request asks for each rack. */
         double asked(double at) {
+            if (at == now && sumOf == changes && summedAt == now) return sum;
             double asked = 0;
             for (Server h : servers) asked += h.ready || h.ownKb > 0 ? h.ownAt(at) + peerKb(h) : 0;
-            return asked;
+            if (at != now) return asked;
+            sumOf = changes;
+            summedAt = now;
+            return sum = asked;
         }
 
+        boolean used() { return servers.stream().anyMatch(h -> !h.sessions.isEmpty()); }
+
+        List<Session> sessions() { return servers.stream().flatMap(h -> h.sessions.stream()).toList(); }
+
         double part(double kbs) { return uplinkKb <= 0 ? 0 : bias * kbs / uplinkKb; }
     }
 }
--- a/src/test/java/calicovale/SessionControllerTest.java
+++ b/src/test/java/calicovale/SessionControllerTest.java
@@ -467,6 +467,24 @@
         }
     }
 
+    // --- Many managers ---
+
+    @Test
+    void managersThatHaveHeardOfNothingDoNotAllChooseTheLargestLink() {
+        Set<Long> used = new HashSet<>();
+        for (int i = 0; i < 60; i++) {
+            Rig rig = new Rig();
+            rig.controllers = 60;
+            rig.self = i;
+            rig.seed = i;
+            rig.start().servers(10);
+            rig.list(ListScope.CHANGES, List.of(new ServerEntry(11, ServerState.READY, 0, 0, 1, 0, 1.2)));
+            rig.request("s", 0, 3);
+            used.add(rig.out.server.get("s"));
+        }
+        assertTrue(used.size() >= 9, "60 newcomers of as many managers came to " + used.size() + " of 11 servers");
+    }
+
     // --- Misuse ---
 
     @Test
