Parts of a shortage rounded by chance; exact notes before the smoothed share; prior weighs one link

Now relief goes to 0.9 and its last step is taken with the probability of its part; a shortage that a note on link or uplink shows is not counted again from the late share, and one that no note explains is the uplink's at once; the prior weighs one mean link.

--- a/src/main/java/calicovale/SessionController.java
+++ b/src/main/java/calicovale/SessionController.java
@@ -15,6 +15,7 @@
         NEVER = Double.NEGATIVE_INFINITY, // clock time before all others
         TIE = 0.02, // part by which shares may differ and still tie: readings are rougher than that
         MARK = 0.92, // part of a link or uplink that set-ups may fill; true rates swing about the ladder
+        EASE = 0.9, // part to which it is then brought: newcomers come before the next note, and floors hold
         SHED = 1.02, // part asked above which playing sessions are lowered: really short, not nearly
         RAISE = 0.74, // part asked up to which they are raised: well under MARK, or it would be undone
         CALM_MS = 6000, // ms that room must have lasted before a raise: two rounds of notes
@@ -24,7 +25,7 @@
         REPORT_GAIN = 0.4, // weight of an outcome's report: later and noisier than a note
         REPORT_LATE_MS = 500, // ms by which such a report is late, about: stated nowhere
         PRIOR_USE = 0.6, // part asked of a link while nothing at all has been heard
-        PRIOR_WEIGHT = 0.05, // its weight against all links: matters only when next to nothing is heard
+        PRIOR_WEIGHT = 1, // its weight in mean links: matters only when next to nothing is heard
         LEAST_TRUST = 0.001, // say of a reading under which it is dropped from the average: nothing by then
         FADE_MS = 4000, // ms in which a reading older than two notes loses two thirds of its say
         MOST_USE = 3, // highest part asked that is believed: above it a link is hopeless anyway
@@ -55,7 +56,6 @@
         MOST_RIGHT = 1.5, // most by which notes correct a link against its weight: a third is usual
         LAG = 0.1, // part served behind the whole at which the worst class weighs fully
         ASK_AGAIN_MS = 1500, // ms between calls for the list after a failed one
-        PRIOR_SESSIONS = 1, // sessions of each class under which the price is left at 0: too few to tell
         TENANT_S = 5; // s over which a tenant's rate is averaged
 
     private final Settings cfg;
@@ -378,7 +378,7 @@
 
     /** An uplink counts only where its use is told: guessed from delivery it made choices worse. */
     private double tightness(Server h) {
-        return Math.max(0.05, Math.max(use(h), h.rack.told ? uplinkUse(h.rack) : 0));
+        return Math.max(0.05, Math.max(use(h), h.rack.toldAt > NEVER ? uplinkUse(h.rack) : 0));
     }
 
     private boolean fits(Server h, double addedKb) {
@@ -417,7 +417,7 @@
         double uplinks = media.racks() > 0 && media.uplinkKb() > 0 ? racks.size() * media.uplinkKb() : links;
         double prior = PRIOR_USE * Math.min(1, uplinks / Math.max(1, links));
         if (handedOver) prior = Math.min(prior, ownKb * cfg.controllers() / Math.max(1, links));
-        double weight = PRIOR_WEIGHT * links;
+        double weight = PRIOR_WEIGHT * meanLink;
         average = links <= 0 ? prior : (asked + weight * prior) / (heard + weight);
         return average;
     }
@@ -427,7 +427,6 @@
     }
 
     private void report(Server h, Map<String, Double> load) {
-        if (load.isEmpty()) return;
         Double use = load.containsKey("x0") ? load.get("x0") : load.get("util");
         if (use != null) heard(h, use, REPORT_LATE_MS, REPORT_GAIN, !load.containsKey("x0") && use >= 0.995);
         if (load.containsKey("inflight"))
@@ -442,6 +441,7 @@
         double peers = Math.max(0, Math.min(MOST_USE, use) * h.link - h.ownAt(now - late));
         if (h.heardAt <= 0) h.peerKb = peers;
         else if (!atLeast || peers > h.peerKb) h.peerKb += gain * (peers - h.peerKb);
+        h.toldAt = now;
         hear(h);
     }
 
@@ -456,8 +456,8 @@
         double asked = rack.asked(now - late) / Math.max(1, rack.uplinkKb);
         if (asked > 0.05) {
             double bias = Math.max(BIAS_LEAST, Math.min(BIAS_MOST, use / asked));
-            rack.bias += (rack.told ? gain : 1) * (bias - rack.bias);
-            rack.told = true;
+            rack.bias += (rack.toldAt > NEVER ? gain : 1) * (bias - rack.bias);
+            rack.toldAt = now;
         }
         rack.heardAt = now;
     }
@@ -475,7 +475,6 @@
             case LINK_USE -> heard(h, e.value(), fresh ? 0 : media.noteDelayMs(), NOTE_GAIN, false);
             case UPLINK_USE -> heardUplink(h.rack, e.value(), fresh ? 0 : media.noteDelayMs(), NOTE_GAIN);
             case DELIVERED_SHARE -> shortDelivery(h, e.value());
-            default -> { }
         }
         relieve(h);
     }
@@ -488,25 +487,31 @@
         double asked = Math.min(MOST_USE, 1 / Math.max(0.05, share));
         double own = h.ownAt(now - media.noteDelayMs());
         double explained = Math.max((own + peerKb(h)) / h.link, uplinkUse(h.rack));
-        if (explained >= asked * 0.95) return;
+        // What notes on the link or uplink just showed to be full is exact; this share is smoothed and late.
+        boolean linkTold = told(h.toldAt), uplinkTold = told(h.rack.toldAt);
+        boolean shown = linkTold && use(h) >= WHOLE_SHARE || uplinkTold && uplinkUse(h.rack) >= WHOLE_SHARE;
+        if (shown || explained >= asked) return;
         int near = 0, used = 0;
         for (Server other : h.rack.servers) {
-            near += now - other.shortAt < SHORT_FRESH_MS ? 1 : 0;
-            used += other.sessions.isEmpty() ? 0 : 1;
+            if (now - other.shortAt < SHORT_FRESH_MS) near++;
+            if (!other.sessions.isEmpty()) used++;
         }
-        boolean rackShort = near >= 2 && near >= RACK_SHORT * used;
-        if (share < DEAD_SHARE && explained < asked / 2 && !rackShort) {
+        // With a link told to have room it is the uplink, even if this is the rack's one server used here.
+        boolean most = near >= RACK_SHORT * used;
+        if (share < DEAD_SHARE && explained < asked / 2 && !(most && near >= 2)) {
             h.deadAt = now;
             strike(h);
-        } else if (rackShort && h.rack.uplinkKb > 0 && !h.rack.told) {
+        } else if (most && (linkTold || near >= 2) && h.rack.uplinkKb > 0 && !uplinkTold) {
             double bias = asked * h.rack.uplinkKb / Math.max(1, h.rack.asked(now));
-            h.rack.bias = Math.min(BIAS_MOST, h.rack.bias + 0.25 * Math.max(0, bias - h.rack.bias));
+            h.rack.bias = Math.min(BIAS_MOST, Math.max(h.rack.bias, bias));
             h.rack.heardAt = now;
         } else {
             atLeast(h, asked);
         }
     }
 
+    private boolean told(double at) { return now - at <= 2 * media.noteEveryMs(); }
+
     /** Something showed that at least this part of the link is asked. */
     private void atLeast(Server h, double use) {
         h.peerKb = Math.max(peerKb(h), use * h.link - h.ownKb);
@@ -535,7 +540,7 @@
         }
         TreeMap<Double, Double> steps = new TreeMap<>(Comparator.reverseOrder());
         double base = 0, prior = 0;
-        for (SessionClass k : cfg.classes()) prior += PRIOR_SESSIONS * k.scale() * media.rungKb().get(0);
+        for (double[] rates : kb) prior += rates[0];
         for (Session s : sessions.values()) {
             if (s.server == null) continue;
             base += kb[s.c][s.k.lowestRung()];
@@ -544,7 +549,7 @@
         }
         double used = base;
         price = 0;
-        if (base <= prior) return;
+        if (base <= prior) return; // under a session of each class: too few to tell
         for (Map.Entry<Double, Double> step : steps.entrySet()) {
             used += step.getValue();
             price = step.getKey();
@@ -561,12 +566,12 @@
         out.timer(TICK_MS * (0.8 + 0.4 * random.nextDouble()), "tick");
         balance(s);
         reprice();
-        double most = Math.max(media.rungKb().size(), sessions.size() * 0.05);
-        raiseTokens = Math.min(most, raiseTokens + RAISE_PACE * sessions.size() * s);
+        raiseTokens = Math.min(kb[0].length, raiseTokens + RAISE_PACE * sessions.size() * s);
         for (Rack rack : racks.values()) {
-            double quiet = now - rack.heardAt - (rack.told ? 2 * media.noteEveryMs() : 0);
+            boolean silent = rack.toldAt == NEVER;
+            double quiet = now - rack.heardAt - (silent ? 0 : 2 * media.noteEveryMs());
             double pace = rack.bias > BIAS_USUAL ? BIAS_FAST : 1;
-            boolean untested = !rack.told && quiet > CALM_MS && rack.used() && uplinkUse(rack) > UNTESTED;
+            boolean untested = silent && quiet > CALM_MS && rack.used() && uplinkUse(rack) > UNTESTED;
             if (rack.bias > 1 && quiet > SHORT_FRESH_MS || untested)
                 rack.bias = Math.max(untested ? BIAS_LEAST : 1, rack.bias * (1 - BIAS_FALL * s * pace));
         }
@@ -579,17 +584,15 @@
     }
 
     /**
-     * Lowers own sessions where a link or uplink is really short, by this manager's part of the excess. Acts
-     * once on each piece of evidence, never on a guess, and takes it that peers, who hear the same notes, do
-     * their part: else each manager would shed the whole excess, again at every look.
+     * Lowers own sessions where a link or uplink is really short, by own part of the excess: once on each
+     * piece of evidence, never on a guess. Peers hear the same notes and are taken to do their part.
      */
     private void relieve(Server h) {
         double use = use(h);
         if (use > SHED && h.heardAt > h.relievedAt) {
             h.relievedAt = now;
-            lower(new ArrayList<>(h.sessions), h.ownKb * (use - MARK) / use, Double.MAX_VALUE);
-            h.peerKb *= MARK / use;
-            changes++;
+            h.peerKb *= EASE / use;
+            lower(new ArrayList<>(h.sessions), h.ownKb * (use - EASE) / use, Double.MAX_VALUE);
         }
         Rack rack = h.rack;
         double up = uplinkUse(rack);
@@ -598,10 +601,9 @@
             double own = 0;
             for (Server other : rack.servers) {
                 own += other.ownKb;
-                other.peerKb = peerKb(other) * MARK / up;
+                other.peerKb = peerKb(other) * EASE / up;
             }
-            changes++;
-            lower(rack.sessions(), own * (up - MARK) / up, Double.MAX_VALUE);
+            lower(rack.sessions(), own * (up - EASE) / up, Double.MAX_VALUE);
         }
     }
 
@@ -622,6 +624,7 @@
     /** Lowers sessions, least worth per kB first, each with one change; returns the kB freed. */
     private double lower(List<Session> from, double need, double under) {
         double freed = 0;
+        changes++;
         Set<Session> changed = new LinkedHashSet<>();
         while (freed < need) {
             Session worst = null;
@@ -630,6 +633,9 @@
                 if (can && (worst == null || s.step() < worst.step())) worst = s;
             }
             if (worst == null) break;
+            // a part smaller than a step is rounded by chance: else a hundred managers shed a step each
+            double step = kb[worst.c][worst.rung] - kb[worst.c][worst.rung - 1];
+            if (under == Double.MAX_VALUE && random.nextDouble() * step > need - freed) break;
             double before = worst.server.ownKb;
             shift(worst, worst.rung - 1);
             worst.changedAt = now;
@@ -643,12 +649,10 @@
     /** Lowers playing sessions whose last steps are worth less a kB than the newcomer, if that is enough. */
     private boolean makeRoom(Server h, Session s) {
         double value = density[s.c][s.k.lowestRung()] * s.discount();
-        double addedKb = added(h, s, s.k.lowestRung());
-        Rack rack = h.rack;
+        double addedKb = added(h, s, s.k.lowestRung()), up = h.rack.uplinkKb;
         double overLink = (use(h) - MARK) * h.link + addedKb;
-        double overUp = rack.uplinkKb <= 0 ? 0
-                : (uplinkUse(rack) - MARK) * rack.uplinkKb / rack.bias + addedKb;
-        List<Session> all = rack.sessions();
+        double overUp = up <= 0 ? 0 : (uplinkUse(h.rack) - MARK) * up / h.rack.bias + addedKb;
+        List<Session> all = h.rack.sessions();
         if (lowerable(h.sessions, value) < overLink || lowerable(all, value) < overUp) return false;
         double freed = overLink > 0 ? lower(new ArrayList<>(h.sessions), overLink, value) : 0;
         if (overUp > freed) lower(all, overUp - freed, value);
@@ -744,10 +748,9 @@
     // --- The list ---
 
     private void onList(ServerList e) {
-        if (e.scope() == ListScope.FAILED) {
-            if (cfg.askForList()) out.timer(ASK_AGAIN_MS * (1 + random.nextDouble()), "list");
-            return;
-        }
+        boolean failed = e.scope() == ListScope.FAILED;
+        if (failed && cfg.askForList()) out.timer(ASK_AGAIN_MS * (1 + random.nextDouble()), "list");
+        if (failed) return;
         boolean older = e.version() < listVersion;
         listVersion = Math.max(listVersion, e.version());
         Set<Long> named = new HashSet<>();
@@ -888,7 +891,7 @@
         int kind, zone, cell, out, strikes;
         double link, ownKb, ownWeight, peerKb, peerStreams = -1, heardAt, shortAt = NEVER;
         double deadAt = NEVER, struckAt = NEVER, suspendedUntil = NEVER;
-        double coldSince = NEVER, lastSent = NEVER, relievedAt = NEVER;
+        double coldSince = NEVER, lastSent = NEVER, relievedAt = NEVER, toldAt = NEVER;
 
         Server(long id) { this.id = id; }
 
@@ -910,20 +913,18 @@
         final List<Server> servers = new ArrayList<>();
         final double uplinkKb;
         double bias = 1;
-        boolean told;
-        double heardAt, relievedAt = NEVER, sum, summedAt = NEVER;
+        double heardAt, toldAt = NEVER, relievedAt = NEVER, sum;
         long sumOf = -1;
 
         Rack(double uplinkKb) { this.uplinkKb = uplinkKb; }
 
         /** All demand on the uplink; kept until something changes, since each request asks for each rack. */
         double asked(double at) {
-            if (at == now && sumOf == changes && summedAt == now) return sum;
+            if (at == now && sumOf == changes) return sum;
             double asked = 0;
             for (Server h : servers) asked += h.ready || h.ownKb > 0 ? h.ownAt(at) + peerKb(h) : 0;
             if (at != now) return asked;
             sumOf = changes;
-            summedAt = now;
             return sum = asked;
         }
 
--- a/src/test/java/calicovale/SessionControllerTest.java
+++ b/src/test/java/calicovale/SessionControllerTest.java
@@ -485,6 +485,41 @@
         assertTrue(used.size() >= 9, "60 newcomers of as many managers came to " + used.size() + " of 11 servers");
     }
 
+    @Test
+    void aShortageHeardByAHundredManagersIsAnsweredByAboutItsSize() {
+        int lowered = 0;
+        for (int i = 0; i < 100; i++) {
+            Rig rig = new Rig();
+            rig.controllers = 100;
+            rig.self = i;
+            rig.seed = i;
+            rig.link = 100 * 400 / 1.1;
+            rig.start().servers(1);
+            rig.request("s", 0, 1).started("s");
+            rig.now += 4000;
+            rig.note("s", NoteKind.LINK_USE, 1.1);
+            lowered += rig.out.rung.get("s") == 0 ? 1 : 0;
+        }
+        // 0.2 of 1.1 is to go, each step is half a session's rate
+        assertTrue(lowered >= 20 && lowered <= 55, lowered + " of 100 lowered, 36 would be right");
+    }
+
+    @Test
+    void aFullLinkThatNotesShowIsNotCountedAgainFromTheSmoothedShare() {
+        Rig rig = new Rig();
+        rig.link = 10_000;
+        rig.start().servers(1);
+        for (int i = 0; i < 5; i++) {
+            rig.request("s" + i, 0, 3).started("s" + i);
+        }
+        rig.now += 4000;
+        rig.note("s0", NoteKind.LINK_USE, 1.0);
+        List<String> before = List.copyOf(rig.out.lines);
+        rig.now += 1000;
+        rig.note("s0", NoteKind.DELIVERED_SHARE, 0.9);
+        assertEquals(before, rig.out.lines, "the share says what the note said, later");
+    }
+
     // --- Misuse ---
 
     @Test
