--- a/cli/src/test/java/calicovale/cli/ArrowsTest.java
+++ b/cli/src/test/java/calicovale/cli/ArrowsTest.java
@@ -46,8 +46,8 @@
 
     @Test
     void insideTheFrontTheBoxAndDirectorySidesDoNotKnowPlayers() {
-        noClasses().that().resideInAnyPackage("calicovale.front.box", "calicovale.front.directory", "calicovale.front.host",
-                "calicovale.front.stream",                "calicovale.front.time", "calicovale.front.playlist").should().dependOnClassesThat()
+        noClasses().that().resideInAnyPackage("calicovale.front.box", "calicovale.front.directory", "calicovale.front.host", "calicovale.front.ledger",
+                "calicovale.front.stream", "calicovale.front.time", "calicovale.front.playlist").should().dependOnClassesThat()
                 .resideInAPackage("calicovale.front.player").check(ALL);
     }
 
--- a/front/src/main/java/calicovale/front/FrontProcess.java
+++ b/front/src/main/java/calicovale/front/FrontProcess.java
@@ -2,6 +2,7 @@
 
 import calicovale.front.directory.DirectoryLink;
 import calicovale.front.host.FrontCounters;
+import calicovale.front.ledger.LedgerDesk;
 import calicovale.front.operators.ChangeDesk;
 import calicovale.front.player.SessionManager;
 import calicovale.front.settings.FrontSettings;
@@ -13,6 +14,8 @@
 import calicovale.protocols.net.Clock;
 import calicovale.protocols.net.EventLoop;
 import calicovale.protocols.net.Tap;
+import calicovale.stitch.Change;
+import calicovale.stitch.ChangeBook;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -20,6 +23,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -32,6 +36,9 @@
     private final HttpServer server;
     private final FrontCounters counters = new FrontCounters();
     private final CommonClock common;
+    private final ChangeBook book;
+    private final LedgerDesk ledger;
+    private ChangeDesk desk;
     private volatile InetSocketAddress operatorsAt;
     private final CompletableFuture<InetSocketAddress> listening = new CompletableFuture<>();
 
@@ -47,7 +54,9 @@
         HttpLimits players = new HttpLimits(limits.lineBytes(), limits.headerCount(), limits.headerBytes(), 0,
                 limits.pipelinedBytes(), limits.headMs(), limits.bodyMs(), limits.idleMs(), limits.connections());
         HttpClient client = new HttpClient(loop, limits, settings.bounds().perBox(), settings.times().connect());
-        manager = new SessionManager(loop, settings, common, random, client, counters, incarnation);
+        book = new ChangeBook(settings.bounds().changes(), settings.bounds().shown());
+        ledger = ledger();
+        manager = new SessionManager(loop, settings, common, random, client, book, ledger, counters, incarnation);
         server = new HttpServer(loop, name, players, manager::handle);
         manager.wireCounts(() -> {
             Map<String, Long> counts = new LinkedHashMap<>();
@@ -72,12 +81,24 @@
         loop.start();
     }
 
+    private LedgerDesk ledger() {
+        try {
+            return new LedgerDesk(loop, settings.sessionsFolder(),
+                    () -> book.changes().stream().map(Change::id).collect(Collectors.toUnmodifiableSet()),
+                    () -> common.at(loop.clock().nanos() / 1e6), settings.times().alive(), counters);
+        } catch (IOException e) {
+            loop.close();
+            throw new UncheckedIOException("the sessions' ledger can't be used: " + e.getMessage(), e);
+        }
+    }
+
     private HttpServer operators(HttpLimits limits) {
         if (settings.operators() == null) {
             return null;
         }
         try {
-            ChangeDesk desk = new ChangeDesk(loop, manager.changes(), manager.host()::nowMs, settings.changesFolder(), counters);
+            desk = new ChangeDesk(loop, book, manager.host()::nowMs, settings, manager::changesChanged, manager::changeTally,
+                    counters);
             return new HttpServer(loop, "operators", limits, desk::handle);
         } catch (IOException e) {
             loop.close();
@@ -151,10 +172,25 @@
     /** Ends as a killed process would. */
     public void kill() {
         loop.kill();
+        ledger.kill();
+        closeDesk();
+    }
+
+    /** Sets what the disk of the sessions' ledger does wrong. */
+    public void diskFault(LedgerDesk.DiskFault fault) {
+        ledger.fault(fault);
+    }
+
+    private void closeDesk() {
+        if (desk != null) {
+            desk.close();
+        }
     }
 
     @Override
     public void close() {
         loop.close();
+        ledger.close();
+        closeDesk();
     }
 }
--- a/front/src/main/java/calicovale/front/player/SessionManager.java
+++ b/front/src/main/java/calicovale/front/player/SessionManager.java
@@ -12,6 +12,8 @@
 import calicovale.front.box.LoadReport;
 import calicovale.front.host.ControllerHost;
 import calicovale.front.host.FrontCounters;
+import calicovale.front.ledger.LedgerDesk;
+import calicovale.front.playlist.Piece;
 import calicovale.front.playlist.SessionPlaylist;
 import calicovale.front.playlist.Source;
 import calicovale.front.settings.FrontSettings;
@@ -26,13 +28,13 @@
 import calicovale.protocols.http.HttpHead;
 import calicovale.protocols.json.Documents;
 import calicovale.protocols.net.EventLoop;
-import calicovale.stitch.Change;
 import calicovale.stitch.ChangeBook;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.LinkedHashSet;
@@ -54,6 +56,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(SessionManager.class);
     private static final String HLS = "application/vnd.apple.mpegurl";
     private static final int TOKEN_BYTES = 16;
+    /** Characters of a viewer's name: it stands in every step of the ledger. */
+    private static final int MOST_VIEWER_CHARS = 200;
 
     private final EventLoop loop;
     private final FrontSettings settings;
@@ -64,6 +68,8 @@
     private final String incarnation;
     private final SourceCache sources;
     private final ChangeBook changes;
+    private final Programme programme;
+    private final SessionKeeper keeper;
     private final Map<String, Viewing> byToken = new HashMap<>();
     private final Map<String, Viewing> byId = new HashMap<>();
     private final Map<Long, BoxLink> boxes = new TreeMap<>();
@@ -76,7 +82,7 @@
 
     /** {@code incarnation} names this process among all that had its number. */
     public SessionManager(EventLoop loop, FrontSettings settings, CommonClock common, RandomGenerator random,
-            HttpClient client, FrontCounters counters, String incarnation) {
+            HttpClient client, ChangeBook changes, LedgerDesk ledger, FrontCounters counters, String incarnation) {
         this.loop = loop;
         this.settings = settings;
         this.random = random;
@@ -85,8 +91,11 @@
         this.incarnation = incarnation;
         this.sources = new SourceCache(settings.bounds().sources(),
                 settings.controller().media().rungKb().size(), counters);
-        this.changes = new ChangeBook(settings.bounds().changes());
+        this.changes = changes;
         this.host = new ControllerHost(loop, common, settings.controller(), settings.seed(), this);
+        this.keeper = new SessionKeeper(loop, settings, ledger, host::nowMs, counters);
+        this.programme = new Programme(loop, settings, changes, sources, ledger, host::nowMs, counters, new Pieces());
+        ledger.foundShowings().forEach(s -> changes.remember(s.change(), s.name()));
     }
 
     /** The controller's host, for measurements. */
@@ -117,6 +126,7 @@
         boolean reads = method.equals("GET") || method.equals("HEAD");
         String title = between(path, "/v1/lectures/", "/index.m3u8");
         String token = between(path, "/s/", "/media.m3u8");
+        String piece = path.startsWith("/s/") ? path.substring(3) : "";
         if (title != null) {
             if (method.equals("GET")) {
                 first(x, title);
@@ -129,6 +139,8 @@
             } else {
                 x.problem(405, new Headers().add("Allow", "GET, HEAD"), "Method Not Allowed", null, "");
             }
+        } else if (piece.matches("[0-9a-f]+/pieces/[A-Za-z0-9._-]+\\.m3u8") && reads) {
+            piece(x, piece.substring(0, piece.indexOf('/')), piece.substring(piece.lastIndexOf('/') + 1, piece.length() - 5));
         } else if (path.equals("/v1/status") && reads) {
             status(x);
         } else {
@@ -147,10 +159,15 @@
 
     private void first(Exchange x, String title) {
         HttpHead head = x.head();
-        int c = settings.classNames().indexOf(head.query("class"));
-        if (c < 0 || !title.matches("[A-Za-z0-9][A-Za-z0-9._-]{0,99}")) {
+        String className = head.query("class");
+        int c = className == null ? -1 : settings.classNames().indexOf(className);
+        String named = head.query("viewer");
+        String viewer = named != null ? named : Cmcd.of(head).getOrDefault("sid", "");
+        boolean tooLong = viewer.length() > MOST_VIEWER_CHARS;
+        if (c < 0 || tooLong || !title.matches("[A-Za-z0-9][A-Za-z0-9._-]{0,99}")) {
             counters.count("bad-requests");
             x.problem(400, "Bad Request", c < 0 ? "class: one of " + settings.classNames() + " is expected"
+                    : tooLong ? "viewer: at most " + MOST_VIEWER_CHARS + " characters are expected"
                     : "title: letters, digits, dots, dashes are expected");
             return;
         }
@@ -185,13 +202,18 @@
             turnAway(x, null, settings.controller().limits().retryAfterMs());
             return;
         }
-        String named = head.query("viewer");
-        String viewer = named != null ? named : Cmcd.of(head).getOrDefault("sid", "");
         Viewing v = new Viewing(token(), c, t, viewer, title, top, wait,
-                new SessionPlaylist(settings.playlist(), nowMs()));
+                new SessionPlaylist(settings.playlist(), nowMs(), host.nowMs()));
+        v.returning = head.query("returning") != null;
+        v.interstitials = switch (settings.interstitials()) {
+            case NEVER -> false;
+            case ASKED -> head.query("interstitials") != null;
+            case ALWAYS -> true;
+        };
+        programme.cookies(v, head.headers().all("Cookie"));
         byToken.put(v.token, v);
         counters.count("requests-taken");
-        place(v, x, head.query("retry") != null, false, head.query("returning") != null);
+        place(v, x, head.query("retry") != null, false, v.returning);
     }
 
     private String token() {
@@ -218,7 +240,8 @@
         double left = v.waitMs - settings.times().answerMargin();
         String id = v.id;
         v.deadline = loop.schedule(left, () -> overdue(v, id));
-        Holders holders = settings.titles().getOrDefault(v.title, new Holders(0, Integer.MAX_VALUE));
+        Holders holders = v.holders != null ? v.holders
+                : settings.titles().getOrDefault(v.title, new Holders(0, Integer.MAX_VALUE));
         host.raise(new Request(v.id, v.sessionClass, v.tenant, v.viewer, v.title, host.nowMs() + left, 0,
                 holders.homeCell(), holders.span(), v.top, retry, moved, returning));
     }
@@ -270,11 +293,12 @@
         }
         v.state = state;
         v.call = null;
+        v.changed.run();
         if (state == Viewing.State.LOST) {
-            if (v.given) {
+            if (v.given && !v.ofPiece) {
                 expire(v);
             } else {
-                byToken.remove(v.token);
+                forget(v);
             }
         }
         if (drained != null && pending == 0) {
@@ -290,11 +314,19 @@
         loop.schedule(settings.times().endedKept(), () -> {
             boolean over = v.state == Viewing.State.LOST || v.state == Viewing.State.ENDED;
             if (over && v.id.equals(id)) {
-                byToken.remove(v.token);
+                forget(v);
             }
         });
     }
 
+    private void forget(Viewing v) {
+        byToken.remove(v.token);
+        programme.over(v);
+        if (v.given && !v.ofPiece) {
+            keeper.over(v);
+        }
+    }
+
     private interface Answer {
         boolean to(Exchange x);
     }
@@ -325,7 +357,13 @@
 
     private void reload(Exchange x, String token) {
         Viewing v = byToken.get(token);
-        if (v == null) {
+        if (v == null && byToken.size() < settings.bounds().sessions()) {
+            v = keeper.back(token);
+            if (v != null) {
+                byToken.put(token, v);
+            }
+        }
+        if (v == null || v.ofPiece) {
             counters.count("unknown-sessions");
             x.problem(404, "Not Found", "no such session here; ask for the lecture again");
             return;
@@ -335,6 +373,10 @@
             counters.count("players-starved");
             LOG.atInfo().addKeyValue("session", v.id).log("the player's buffer ran empty");
         }
+        route(v, x);
+    }
+
+    private void route(Viewing v, Exchange x) {
         switch (v.state) {
             case PLAYING -> serve(v, x, true);
             case PLACING -> await(v, x);
@@ -361,7 +403,16 @@
         }
         if (now != null && v.state == Viewing.State.PLAYING) {
             v.source = now;
-            v.playlist.extend(now, v.rung, v.base + v.rung + "/", nowMs(), (n, placeS, ms) -> stitch(v, placeS, ms));
+            SessionKeeper.goOn(v, now);
+            if (!v.playlist.extend(now, v.rung, v.base + v.rung + "/", nowMs(), programme.stitcher(v))) {
+                programme.whenReady(v, () -> {
+                    if (!x.gone()) {
+                        route(v, x);
+                    }
+                });
+                return;
+            }
+            programme.extended(v);
         }
         missing = missing >= 0 ? missing : missing(v);
         if (missing >= 0 && mayFetch && v.box != null) {
@@ -379,46 +430,113 @@
             x.problem(502, "Bad Gateway", "the lecture's playlist can't be had");
             return;
         }
-        byte[] text = v.playlist.render(rung -> sources.get(v.title, rung)).getBytes(StandardCharsets.UTF_8);
-        x.respond(200, named(v.id).add("Content-Type", HLS).add("Cache-Control", "no-store"), text);
+        if (keeper.covers(v)) {
+            give(v, x);
+        } else {
+            keeper.whenKept(() -> {
+                if (x.gone()) {
+                    return;
+                }
+                if (v.playlist.shownRung() < 0 || missing(v) >= 0) {
+                    // a source was dropped meanwhile
+                    route(v, x);
+                } else {
+                    give(v, x);
+                }
+            });
+        }
     }
 
-    /** The piece that the changes put at a boundary of a session's lecture, if its box has it; else it is put off. */
-    private SessionPlaylist.Piece stitch(Viewing v, double placeS, double boundaryMs) {
-        if (changes.isEmpty()) {
-            return null;
+    private void give(Viewing v, Exchange x) {
+        Headers headers = named(v.id).add("Content-Type", HLS).add("Cache-Control", "no-store");
+        String cookie = programme.cookie(v);
+        if (cookie != null) {
+            headers.add("Set-Cookie", cookie);
         }
-        var k = settings.controller().classes().get(v.sessionClass);
-        double rateKb = settings.controller().media().rungKb().get(v.rung) * k.scale();
-        String tenant = settings.tenantNames().isEmpty() ? "" : settings.tenantNames().get(v.tenant);
-        ChangeBook.Facts facts = new ChangeBook.Facts(v.token, v.viewer, v.title, settings.classNames().get(v.sessionClass),
-                tenant, k.lowestRung(), rateKb, k.scale());
-        ChangeBook.Decision decision = changes.at(facts, placeS, host.nowMs() + boundaryMs - nowMs());
-        for (String id : decision.withoutRendition()) {
-            counters.count("changes-without-rendition");
-            LOG.atInfo().addKeyValue("session", v.id).log("change {} waits: no rendition keeps the floor and fits", id);
-        }
-        if (decision.choice() == null) {
-            return null;
-        }
-        Change change = decision.choice().change();
-        int rung = decision.choice().rendition().rung();
-        Source source = sources.get(change.title(), rung);
-        if (source == null) {
-            // at a later boundary it is here, or this box lacks it
-            counters.count("changes-put-off");
-            sources.fetch(v.box, change.title(), rung, () -> { });
-            return null;
-        }
-        changes.shown(change, facts);
-        counters.count("changes-shown");
-        LOG.atInfo().addKeyValue("session", v.id).log("change {} at {} s, rendition {}", change.id(), placeS, rung);
-        return new SessionPlaylist.Piece(change.id(), rung, v.base + "p/" + change.title() + "/" + rung + "/", source);
-    }
-
-    /** The changes that sessions are to show; to be touched on the loop only. */
-    public ChangeBook changes() {
-        return changes;
+        x.respond(200, headers, v.playlist.render(rung -> sources.get(v.title, rung)).getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Answers with the playlist of a piece that a session's player plays as an interstitial. */
+    private void piece(Exchange x, String token, String change) {
+        Viewing v = byToken.get(token);
+        Piece piece = v == null ? null : v.playlist.planned(change);
+        if (piece == null) {
+            counters.count("not-found");
+            x.problem(404, "Not Found", "no such piece in a session here");
+            return;
+        }
+        counters.count("pieces-given");
+        x.respond(200, named(v.id).add("Content-Type", HLS).add("Cache-Control", "no-store"),
+                piece.render().getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Set-ups for pieces, placed by the controller like any session; no player asks for them. */
+    private final class Pieces implements Programme.Sessions {
+        @Override
+        public Collection<Viewing> all() {
+            return byToken.values();
+        }
+
+        @Override
+        public Viewing place(Viewing beside, String title, Holders holders, Runnable changed) {
+            if (draining || pending >= settings.bounds().pending() || byToken.size() >= settings.bounds().sessions()) {
+                counters.count("piece-set-ups-held");
+                return null;
+            }
+            Viewing v = new Viewing(token(), beside.sessionClass, beside.tenant, beside.viewer, title, beside.top, beside.waitMs,
+                    new SessionPlaylist(settings.playlist(), nowMs(), host.nowMs()));
+            v.ofPiece = true;
+            v.given = true;
+            v.holders = holders;
+            byToken.put(v.token, v);
+            // not from within a reload: the controller's actions may concern the session whose playlist is being written
+            loop.schedule(0, () -> {
+                v.changed = changed;
+                SessionManager.this.place(v, null, false, false, false);
+            });
+            return v;
+        }
+
+        @Override
+        public void release(Viewing piece) {
+            loop.schedule(0, () -> {
+                if (piece.state == Viewing.State.PLAYING) {
+                    piece.box.release(piece.key());
+                    leave(piece, Outcome.OK, Map.of());
+                } else if (piece.state == Viewing.State.PLACING) {
+                    depart(piece);
+                }
+            });
+        }
+
+        @Override
+        public void takes(Viewing v, int rung) {
+            String key = v.key();
+            loop.schedule(0, () -> {
+                if (v.state == Viewing.State.PLAYING && v.key().equals(key)) {
+                    counters.count("piece-rates-told");
+                    v.box.rung(key, rung, ++v.rungChange);
+                    host.raise(new Note(v.id, v.attempt, v.box.id(), NoteKind.RUNG, rung));
+                }
+            });
+        }
+    }
+
+    /** A change was told or withdrawn. */
+    public void changesChanged() {
+        programme.changed();
+    }
+
+    /** The version of the book for which every session has been looked at, and the ms that the last such pass took. */
+    public double[] changesPlanned() {
+        return new double[] {programme.planned(), programme.passMs()};
+    }
+
+    /** How a change fared here, as JSON: sessions that were shown it, wait for it, had it left out, or cut. */
+    public ObjectNode changeTally(String id) {
+        Programme.Tally t = programme.tally(id);
+        return Documents.MAPPER.createObjectNode().put("shown", t.shown).put("waited", t.waited).put("leftOut", t.leftOut)
+                .put("cut", t.cut);
     }
 
     /** A rung that the playlist shows and whose source is not here; -1: none. */
@@ -511,6 +629,7 @@
         }
         v.base = base;
         v.startedAtMs = nowMs();
+        programme.takesAnew(v);
         host.raise(new Started(id, attempt, box.id(), elapsed));
         settle(v, Viewing.State.PLAYING);
         playingAt.computeIfAbsent(box, b -> new LinkedHashSet<>()).add(v);
@@ -536,7 +655,7 @@
             // the answer could not be written: nobody has it, so nobody plays
             leave(v, Outcome.OK, Map.of());
             box.release(key);
-            byToken.remove(v.token);
+            forget(v);
             return;
         }
         v.given = true;
@@ -587,6 +706,7 @@
         }
         v.rung = rung;
         if (v.state == Viewing.State.PLAYING) {
+            programme.takesAnew(v);
             counters.count("rung-changes");
             v.box.rung(v.key(), rung, ++v.rungChange);
             LOG.atInfo().addKeyValue("session", id).log("rung {}", rung);
@@ -601,8 +721,11 @@
         }
         counters.count("moves");
         v.box.release(v.key());
+        boolean piece = v.ofPiece;
         leave(v, Outcome.OK, Map.of());
-        place(v, null, false, true, false);
+        if (!piece) {
+            place(v, null, false, true, false);
+        }
     }
 
     @Override
@@ -683,7 +806,9 @@
         counters.count("sessions-ended");
         LOG.atInfo().addKeyValue("session", v.id).log("ended at box {}: {}", box.id(), reason);
         leave(v, Outcome.OK, load);
-        v.state = Viewing.State.ENDED;
+        if (!v.ofPiece) {
+            v.state = Viewing.State.ENDED;
+        }
     }
 
     @Override
@@ -697,6 +822,7 @@
 
     @Override
     public void onLost(BoxLink box, String why) {
+        programme.lost(box);
         for (Viewing v : new ArrayList<>(playingAt.getOrDefault(box, Set.of()))) {
             lose(v, why);
         }
--- a/front/src/main/java/calicovale/front/player/SourceCache.java
+++ b/front/src/main/java/calicovale/front/player/SourceCache.java
@@ -49,6 +49,17 @@
         }
     }
 
+    /** Keeps a playlist as a box gave it. */
+    void put(String title, int rung, byte[] body) throws HlsException {
+        keep(title, rung, Source.parse(new String(body, StandardCharsets.UTF_8)));
+    }
+
+    /** Tells of a playlist that was no good. */
+    void refused(BoxLink box, String title, int rung, HlsException e) {
+        counters.count("sources-malformed");
+        LOG.warn("box {}: the playlist of {} at rung {} is refused: {}", box.id(), title, rung, e.getMessage());
+    }
+
     /** Fetches from a box unless that is under way; {@code done} runs once it is there or could not be had. */
     void fetch(BoxLink box, String title, int rung, Runnable done) {
         String key = rung + " " + title;
@@ -62,11 +73,9 @@
         box.source(title, rung, (head, body, failure) -> {
             if (failure == null && head.status() == 200) {
                 try {
-                    keep(title, rung, Source.parse(new String(body, StandardCharsets.UTF_8)));
+                    put(title, rung, body);
                 } catch (HlsException e) {
-                    counters.count("sources-malformed");
-                    LOG.warn("box {}: the playlist of {} at rung {} is refused: {}", box.id(), title, rung,
-                            e.getMessage());
+                    refused(box, title, rung, e);
                 }
             } else {
                 counters.count("sources-missed");
--- a/front/src/main/java/calicovale/front/player/Viewing.java
+++ b/front/src/main/java/calicovale/front/player/Viewing.java
@@ -3,6 +3,7 @@
 import calicovale.front.box.BoxLink;
 import calicovale.front.playlist.SessionPlaylist;
 import calicovale.front.playlist.Source;
+import calicovale.front.settings.FrontSettings;
 import calicovale.protocols.http.Exchange;
 import calicovale.protocols.http.HttpClient;
 import calicovale.protocols.net.Timer;
@@ -25,6 +26,21 @@
     final int top;
     final double waitMs;
     final SessionPlaylist playlist;
+    final Programme.Part part = new Programme.Part();
+    /** What the ledger permits to be given. */
+    Kept kept = new Kept();
+    /** The player plays interstitials. */
+    boolean interstitials;
+    /** The viewer went on with a lecture that it had begun. */
+    boolean returning;
+    /** It is a set-up for a piece beside another session: no player knows of it. */
+    boolean ofPiece;
+    /** Where its title is held; null: as the settings have it. */
+    FrontSettings.Holders holders;
+    /** Runs whenever the state is another; for set-ups of pieces. */
+    Runnable changed = () -> { };
+    /** Ms for which it played after the ledger's last step, if it is of the process before; negative: it is not. */
+    double backAfterMs = -1;
     /** Exchanges that the present placing will answer. */
     final List<Exchange> waiting = new ArrayList<>(1);
     State state = State.PLACING;
@@ -47,6 +63,14 @@
     Timer deadline;
     Source source;
 
+    /** Numbers and dates that may be given: they are on disk. */
+    static final class Kept {
+        long sequence;
+        int number;
+        double dateMs;
+        boolean underWay;
+    }
+
     Viewing(String token, int sessionClass, int tenant, String viewer, String title, int top, double waitMs,
             SessionPlaylist playlist) {
         this.token = token;
--- a/front/src/main/java/calicovale/front/playlist/SessionPlaylist.java
+++ b/front/src/main/java/calicovale/front/playlist/SessionPlaylist.java
@@ -1,15 +1,17 @@
 package calicovale.front.playlist;
 
-import calicovale.protocols.hls.Attributes;
-import calicovale.protocols.hls.Playlist;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 
 /**
- * Owns what one session's media playlist has shown and shows: runs of segments, each of one rung from one box. It is a
- * sliding window (RFC 8216, 6.2.2): segments are added at the end by the lecture's own time and taken off at the front, and
- * one that was given is never altered. A change of rung or box begins a run, which the players see as a discontinuity.
+ * Owns what one session's media playlist has shown and shows: runs of segments, each of one rung from one box, of the lecture
+ * or of a piece put into it. It is a sliding window (RFC 8216, 6.2.2): segments are added at the end by the lecture's own time
+ * and taken off at the front, and one that was given is never altered. A change of rung, box or programme begins a run, which
+ * the players see as a discontinuity.
+ *
+ * <p>The pieces of a session are its plan: they map the lecture's time to the programme's and stay with their boundary, so
+ * that one which was listed and then lost with its box is shown when the lecture comes to that boundary again.
  */
 public final class SessionPlaylist {
 
@@ -18,48 +20,73 @@
      *
      * @param ahead segments shown beyond the one that plays
      * @param behind segments kept before it
+     * @param targetS least EXT-X-TARGETDURATION: it may not change later, so it has to be that of the longest piece too
      */
-    public record Shape(int ahead, int behind) {
-    }
-
-    /** A stretch of one rung from one box; {@code piece} is null in the lecture, {@code after} is the lecture's place. */
-    private record Run(long firstSequence, int firstSegment, int rung, String base, Piece piece, int after, double startMs) {
+    public record Shape(int ahead, int behind, int targetS) {
     }
 
     /**
-     * A piece to be put between two segments of the lecture.
+     * A stretch of one rung from one box.
      *
-     * @param id of the change that it belongs to
-     * @param rung its rendition
-     * @param base where its segments are
-     * @param source its segments
+     * @param piece null in the lecture
+     * @param placed in the lecture how many pieces of the plan lie behind it; else the piece's own place in the plan
+     * @param number discontinuities of the playlist up to its first segment
+     * @param startMs when its first segment plays
+     * @param dateMs the programme's date then
      */
-    public record Piece(String id, int rung, String base, Source source) {
+    private record Run(long firstSequence, int firstSegment, int rung, String base, Piece piece, int placed, int number,
+            double startMs, double dateMs) {
     }
 
-    /** Says what is put before a segment of the lecture. */
-    public interface Stitcher {
-        /** Nothing is put in. */
-        Stitcher NONE = (segment, boundaryS, boundaryMs) -> null;
+    /** An interstitial, and the segment with which it is told. */
+    private record Mark(long sequence, String text) {
+    }
 
-        /** The piece to put before a segment that begins at a place and will play at a time; null: none. */
-        Piece before(int segment, double boundaryS, double boundaryMs);
+    /**
+     * What must be known to go on with a session's playlist after a restart without a step back.
+     *
+     * @param sequence media sequence numbers below it may have been given
+     * @param number discontinuity sequence numbers up to it may have been given
+     * @param segment the lecture's segment to go on with
+     * @param targetS EXT-X-TARGETDURATION as it was given; 0: none was
+     * @param dateMs no date after it was given
+     */
+    public record Progress(long sequence, int number, int segment, long targetS, double dateMs) {
     }
 
     private final Shape shape;
+    /** The programme's date, less the monotonic time at which it plays. */
+    private double dateOffsetMs;
     private final List<Run> runs = new ArrayList<>(2);
-    private int dropped;
+    private final List<Mark> marks = new ArrayList<>(0);
+    private final List<Piece> plan = new ArrayList<>(0);
+    private int nextPlaced;
     private int shownRung = -1;
     private long nextSequence;
+    private int number;
+    private boolean restored;
     private int nextSegment;
     private Piece piece;
     private int pieceSegment;
+    private int goesOnAt;
     private double endMs;
+    private long targetS;
 
-    /** A playlist whose lecture begins to play at {@code startMs}. */
-    public SessionPlaylist(Shape shape, double startMs) {
+    /** A playlist whose lecture begins to play at {@code startMs}, which is {@code dateMs} on the common clock. */
+    public SessionPlaylist(Shape shape, double startMs, double dateMs) {
         this.shape = shape;
         this.endMs = startMs;
+        this.dateOffsetMs = dateMs - startMs;
+    }
+
+    /** A playlist that goes on after a restart. */
+    public SessionPlaylist(Shape shape, double startMs, double dateMs, Progress from) {
+        this(shape, startMs, Math.max(dateMs, from.dateMs()));
+        nextSequence = from.sequence();
+        number = from.number();
+        nextSegment = from.segment();
+        targetS = from.targetS();
+        restored = true;
     }
 
     /** The rung of the newest segment of the lecture shown; -1 before the first. */
@@ -72,86 +99,264 @@
         return runs.size();
     }
 
+    /** The media sequence number that the next segment gets. */
+    public long nextSequence() {
+        return nextSequence;
+    }
+
+    /** The discontinuity sequence number of the newest segment. */
+    public int number() {
+        return number;
+    }
+
+    /** EXT-X-TARGETDURATION; 0 until the first segment is added. */
+    public long targetS() {
+        return targetS;
+    }
+
+    /** The programme's date at the end of what is shown. */
+    public double endDateMs() {
+        return endMs + dateOffsetMs;
+    }
+
+    /** The lecture's segment that is added next. */
+    public int nextSegment() {
+        return nextSegment;
+    }
+
+    /** Whether any piece was put in. */
+    public boolean planned() {
+        return !plan.isEmpty();
+    }
+
+    /** A change's piece as it was put in; null: it was not. */
+    public Piece planned(String change) {
+        for (Piece p : plan) {
+            if (p.id().equals(change)) {
+                return p;
+            }
+        }
+        return null;
+    }
+
+    /** The piece of the newest segments; null: they are the lecture's. */
+    public Piece last() {
+        return runs.isEmpty() ? null : runs.get(runs.size() - 1).piece();
+    }
+
+    /** Whether segments of a change's piece are in the window, or due to be added. */
+    public boolean shows(String change) {
+        for (Run run : runs) {
+            if (run.piece() != null && run.piece().id().equals(change)) {
+                return true;
+            }
+        }
+        return piece != null && piece.id().equals(change);
+    }
+
+    /** A playlist that goes on after a restart: the lecture went on for so long after the segment noted. */
+    public void goOn(Source source, double elapsedMs) {
+        int from = Math.min(nextSegment, source.count() - 1);
+        nextSegment = source.at(source.startS(from) + elapsedMs / 1000);
+    }
+
+    /** Monotonic time at which what is shown ends. */
+    public double endMs() {
+        return endMs;
+    }
+
+    /** The piece whose segments were added last and is not at its end; null: the lecture's were. */
+    public Piece playing() {
+        return piece;
+    }
+
     /** Whether the last segment has been shown. */
     public boolean complete(Source source) {
         return nextSegment >= source.count() && piece == null;
     }
 
-    /** The lecture's segment that plays at a time; within a piece the one that follows it. */
-    private int segmentAt(Source source, double ms) {
-        for (int i = runs.size() - 1; i >= 0; i--) {
-            Run run = runs.get(i);
-            if (run.startMs() <= ms || i == 0) {
-                if (run.piece() != null) {
-                    return run.after();
-                }
-                int segment = run.firstSegment();
-                int end = run.firstSegment() + (int) (endOf(i) - run.firstSequence());
-                double at = run.startMs();
-                while (segment < end && at + length(source, segment) <= ms) {
-                    at += length(source, segment++);
-                }
-                return segment;
+    private static double length(Source source, int segment) {
+        return 1000 * (source.startS(segment + 1) - source.startS(segment));
+    }
+
+    /** The segment of a run that plays at a time: its last, if that is over. */
+    private int segmentOf(int index, Source source, double ms) {
+        Run run = runs.get(index);
+        int segment = run.firstSegment();
+        int end = run.firstSegment() + (int) (endOf(index) - run.firstSequence());
+        int held = run.placed();
+        double at = run.startMs();
+        while (segment < end && at + length(source, segment) <= ms) {
+            at += length(source, segment++);
+            // the player holds the lecture while it plays an interstitial
+            while (run.piece() == null && held < plan.size() && plan.get(held).interstitial() && plan.get(held).from() <= segment) {
+                at += plan.get(held).from() == segment ? plan.get(held).heldMs(source) : 0;
+                held++;
             }
         }
-        return nextSegment;
+        return segment;
     }
 
-    private static double length(Source source, int segment) {
-        return 1000 * (source.startS(segment + 1) - source.startS(segment));
+    /** The lecture's segment that plays at a time; within a piece the one before which it stands. */
+    public int segmentAt(Source source, double ms) {
+        int index = runAt(ms);
+        if (index < 0) {
+            return nextSegment;
+        }
+        Run run = runs.get(index);
+        return run.piece() != null ? run.piece().from() : Math.min(segmentOf(index, source, ms), nextSegment);
+    }
+
+    private int runAt(double ms) {
+        int index = runs.size() - 1;
+        while (index > 0 && runs.get(index).startMs() > ms) {
+            index--;
+        }
+        return index;
     }
 
     /**
      * Goes on at another box after a break that began at {@code lostMs}: segments from the place reached then are shown
-     * again, since those shown last may never have come from the box that is lost. What is left of a piece is left out: it
-     * was on that box.
+     * again, since those shown last may never have come from the box that is lost; so are pieces from there on.
      */
     public void resume(Source source, double lostMs, double nowMs) {
-        if (!runs.isEmpty()) {
-            nextSegment = Math.min(segmentAt(source, lostMs), nextSegment);
-        }
+        int index = runAt(lostMs);
         piece = null;
+        goesOnAt = 0;
+        if (index >= 0) {
+            Run run = runs.get(index);
+            if (run.piece() != null) {
+                int reached = segmentOf(index, run.piece().source(), lostMs);
+                nextPlaced = run.placed();
+                nextSegment = run.piece().from();
+                goesOnAt = reached;
+                if (reached >= run.piece().source().count()) {
+                    nextPlaced++;
+                    nextSegment = run.piece().to();
+                    goesOnAt = 0;
+                }
+            } else {
+                nextSegment = Math.min(segmentOf(index, source, lostMs), nextSegment);
+                nextPlaced = run.placed();
+                while (nextPlaced < plan.size() && plan.get(nextPlaced).interstitial()
+                        && plan.get(nextPlaced).from() > run.firstSegment() && plan.get(nextPlaced).from() <= nextSegment) {
+                    nextPlaced++;
+                }
+            }
+        }
+        // the date goes on where it was told to end: it may never run back
+        double date = Math.max(endDateMs(), nowMs + dateOffsetMs);
         endMs = nowMs;
+        dateOffsetMs = date - nowMs;
+    }
+
+    /** The segments of a change's piece can't be had any more: what was listed from there on is listed anew without it. */
+    public void leaveOut(Source source, String change, double nowMs) {
+        for (Run run : runs) {
+            if (run.piece() != null && run.piece().id().equals(change)) {
+                double at = Math.max(nowMs, run.startMs());
+                resume(source, at, at);
+                return;
+            }
+        }
     }
 
     /** Adds the segments that are due, at the rung in force. */
     public void extend(Source source, int rung, String base, double nowMs) {
-        extend(source, rung, base, nowMs, Stitcher.NONE);
+        extend(source, rung, base, nowMs, Piece.Stitcher.NONE);
     }
 
-    /** Adds the segments that are due, at the rung in force, with the pieces that are put between them. */
-    public void extend(Source source, int rung, String base, double nowMs, Stitcher stitcher) {
+    /**
+     * Adds the segments that are due, at the rung in force, with the pieces that are put between them.
+     *
+     * @return false if the stitcher's answer is waited for
+     */
+    public boolean extend(Source source, int rung, String base, double nowMs, Piece.Stitcher stitcher) {
+        if (targetS == 0) {
+            targetS = Math.max(shape.targetS(), source.targetS());
+        }
         while (piece != null || nextSegment < source.count()) {
             double length = piece != null ? length(piece.source(), pieceSegment) : length(source, nextSegment);
             if (endMs > nowMs + shape.ahead() * length + 1e-6) {
-                return;
-            }
-            if (piece == null && (piece = stitcher.before(nextSegment, source.startS(nextSegment), endMs)) != null) {
-                pieceSegment = 0;
-                continue;
+                return true;
             }
-            if (piece != null) {
-                add(piece.source(), pieceSegment++, piece.rung(), piece.base(), piece);
-                piece = pieceSegment < piece.source().count() ? piece : null;
+            if (piece == null) {
+                while (nextPlaced < plan.size() && plan.get(nextPlaced).from() < nextSegment) {
+                    // a stretch that was replaced since took its boundary away
+                    nextPlaced++;
+                }
+                boolean planned = nextPlaced < plan.size() && plan.get(nextPlaced).from() == nextSegment;
+                Piece next = planned ? stitcher.again(plan.get(nextPlaced))
+                        : stitcher.before(nextSegment, source.startS(nextSegment), endMs);
+                if (next == Piece.WAIT) {
+                    return false;
+                }
+                if (next != null || planned) {
+                    begin(source, next, planned);
+                    continue;
+                }
+                add(source, nextSegment, rung, base, null);
+                nextSegment++;
             } else {
-                add(source, nextSegment++, rung, base, null);
+                piece = stitcher.onward(piece);
+                plan.set(nextPlaced, piece);
+                add(piece.source(), pieceSegment++, piece.rung(), piece.base(), piece);
+                if (pieceSegment >= piece.source().count()) {
+                    pass(piece.to());
+                }
             }
         }
+        return true;
+    }
+
+    private void begin(Source source, Piece next, boolean planned) {
+        if (next == null) {
+            // it was withdrawn, or is not to be had where the session plays now
+            nextPlaced++;
+            goesOnAt = 0;
+            return;
+        }
+        if (planned) {
+            plan.set(nextPlaced, next);
+        } else {
+            plan.add(nextPlaced, next);
+        }
+        if (next.interstitial()) {
+            marks.add(new Mark(nextSequence, next.dateRange(endDateMs(), nextSequence,
+                    source.startS(next.to()) - source.startS(next.from()))));
+            // the player holds the lecture meanwhile: what follows plays later, at the same date
+            endMs += next.heldMs(source);
+            dateOffsetMs -= next.heldMs(source);
+            nextPlaced++;
+            return;
+        }
+        piece = next;
+        pieceSegment = Math.min(goesOnAt, next.source().count() - 1);
+        goesOnAt = 0;
+    }
+
+    private void pass(int to) {
+        piece = null;
+        nextPlaced++;
+        nextSegment = to;
     }
 
     private void add(Source of, int segment, int rung, String base, Piece part) {
         Run last = runs.isEmpty() ? null : runs.get(runs.size() - 1);
         boolean joins = last != null && last.rung() == rung && last.base().equals(base) && Objects.equals(last.piece(), part)
-                && last.firstSegment() + (nextSequence - last.firstSequence()) == segment;
+                && last.firstSegment() + (nextSequence - last.firstSequence()) == segment && !of.broken(segment);
         if (!joins) {
-            runs.add(new Run(nextSequence, segment, rung, base, part, nextSegment, endMs));
+            number += last != null || restored ? 1 : 0;
+            runs.add(new Run(nextSequence, segment, rung, base, part, nextPlaced, number, endMs, endDateMs()));
         }
         shownRung = part == null ? rung : shownRung;
         nextSequence++;
         endMs += length(of, segment);
         while (endOf(0) <= firstShown()) {
             runs.remove(0);
-            dropped++;
+        }
+        while (!marks.isEmpty() && marks.get(0).sequence() < firstShown()) {
+            marks.remove(0);
         }
     }
 
@@ -178,58 +383,55 @@
     }
 
     private long firstShown() {
-        return Math.max(0, nextSequence - shape.ahead() - 1 - shape.behind());
+        long first = Math.max(0, nextSequence - shape.ahead() - 1 - shape.behind());
+        return runs.isEmpty() ? first : Math.max(first, runs.get(0).firstSequence());
     }
 
     /** The playlist's text. */
     public String render(Sources sources) {
         long first = firstShown();
-        long target = 1;
-        // each run but the session's first began with one
-        int discontinuities = Math.max(0, dropped - 1);
-        StringBuilder segments = new StringBuilder(2048);
+        long sequence = first;
+        int mark = 0;
+        Source.State state = new Source.State();
+        StringBuilder out = new StringBuilder(2048);
+        Run begins = runs.get(0);
+        // the tag before the window's first segment counts it itself
+        boolean marked = begins.number() > 0 && begins.firstSequence() == first;
+        out.append("#EXTM3U\n#EXT-X-VERSION:7\n#EXT-X-INDEPENDENT-SEGMENTS\n#EXT-X-TARGETDURATION:").append(targetS)
+                .append("\n#EXT-X-MEDIA-SEQUENCE:").append(first);
+        int discontinuities = begins.number() - (marked ? 1 : 0);
+        if (discontinuities > 0) {
+            out.append("\n#EXT-X-DISCONTINUITY-SEQUENCE:").append(discontinuities);
+        }
+        if (first == 0) {
+            out.append("\n#EXT-X-START:TIME-OFFSET=0,PRECISE=YES");
+        }
+        out.append('\n');
         for (int i = 0; i < runs.size(); i++) {
             Run run = runs.get(i);
-            long end = endOf(i);
-            boolean later = i + dropped > 0;
-            if (later && run.firstSequence() < first) {
-                discontinuities++;
-            }
             Source source = run.piece() != null ? run.piece().source() : sources.at(run.rung());
-            target = Math.max(target, source.targetS());
-            String map = null;
-            for (long sequence = Math.max(first, run.firstSequence()); sequence < end; sequence++) {
+            long end = endOf(i);
+            for (; sequence < end; sequence++) {
                 int n = run.firstSegment() + (int) (sequence - run.firstSequence());
-                if (later && sequence == run.firstSequence()) {
-                    segments.append("#EXT-X-DISCONTINUITY\n");
+                if (run.number() > 0 && sequence == run.firstSequence()) {
+                    out.append("#EXT-X-DISCONTINUITY\n");
+                    state.discontinuity();
                 }
-                String section = source.map(n);
-                if (section != null && !section.equals(map)) {
-                    segments.append("#EXT-X-MAP:").append(new Attributes().quoted("URI", run.base() + section))
-                            .append('\n');
-                    map = section;
-                }
-                Playlist.Entry entry = source.segment(n);
-                for (Playlist.Line line : entry.lines()) {
-                    if (!line.tag() || !line.name().equals("EXT-X-MAP")) {
-                        segments.append(line).append('\n');
+                if (sequence == first || sequence == run.firstSequence()) {
+                    double at = run.dateMs() + 1000 * (source.startS(n) - source.startS(run.firstSegment()));
+                    out.append("#EXT-X-PROGRAM-DATE-TIME:").append(Piece.date(at)).append('\n');
+                    if (run.piece() != null) {
+                        out.append(run.piece().dateRange(run.dateMs(), run.firstSequence(), 0));
                     }
                 }
-                segments.append(run.base()).append(entry.uri()).append('\n');
+                while (mark < marks.size() && marks.get(mark).sequence() <= sequence) {
+                    out.append(marks.get(mark++).text());
+                }
+                source.write(out, n, run.base(), state);
             }
         }
-        StringBuilder out = new StringBuilder(segments.length() + 200);
-        out.append("#EXTM3U\n#EXT-X-VERSION:7\n#EXT-X-INDEPENDENT-SEGMENTS\n#EXT-X-TARGETDURATION:").append(target)
-                .append("\n#EXT-X-MEDIA-SEQUENCE:").append(first);
-        if (discontinuities > 0) {
-            out.append("\n#EXT-X-DISCONTINUITY-SEQUENCE:").append(discontinuities);
-        }
-        if (first == 0) {
-            out.append("\n#EXT-X-START:TIME-OFFSET=0,PRECISE=YES");
-        }
-        out.append('\n').append(segments);
-        int rung = shownRung();
-        if (rung >= 0 && complete(sources.at(rung))) {
+        Source lecture = shownRung >= 0 ? sources.at(shownRung) : null;
+        if (lecture != null && complete(lecture)) {
             out.append("#EXT-X-ENDLIST\n");
         }
         return out.toString();
--- a/front/src/main/java/calicovale/front/settings/FrontSettings.java
+++ b/front/src/main/java/calicovale/front/settings/FrontSettings.java
@@ -14,11 +14,13 @@
 import calicovale.protocols.json.Documents;
 import calicovale.protocols.json.InvalidDocumentException;
 import calicovale.protocols.net.LoopLimits;
+import calicovale.stitch.ChangeKeys;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -42,11 +44,20 @@
  * @param loop bounds of the loop
  * @param operators where operators are served, or null
  * @param changesFolder folder of the log of programme changes, or null: they are not kept over a restart
+ * @param changesWatch folder whose documents are told as they come and withdrawn as they go, or null
+ * @param changeKeys keys of which one must have signed a document; without any all are taken
+ * @param sessionsFolder folder of the sessions' ledger, or null: sessions end with the process
+ * @param viewerKey key of the cookies by which viewers carry what they were shown between managers, or null
+ * @param interstitials whether pieces go to players as interstitials
  */
 public record FrontSettings(ControllerApi.Settings controller, long seed, List<String> classNames,
         List<String> tenantNames, Map<String, Holders> titles, InetSocketAddress listen, InetSocketAddress directory,
         Path savedList, Bounds bounds, Times times, SessionPlaylist.Shape playlist, HttpLimits http, LoopLimits loop,
-        InetSocketAddress operators, Path changesFolder) {
+        InetSocketAddress operators, Path changesFolder, Path changesWatch, ChangeKeys changeKeys, Path sessionsFolder,
+        byte[] viewerKey, Interstitials interstitials) {
+
+    /** Whether pieces go to players as HLS interstitials: to none, to those that ask for it, or to all. */
+    public enum Interstitials { NEVER, ASKED, ALWAYS }
 
     /** Cells in a row that hold a title. */
     public record Holders(int homeCell, int span) {
@@ -62,8 +73,12 @@
      * @param sources source playlists kept
      * @param boxes boxes known
      * @param changes programme changes known
+     * @param shown times that a change was shown which are remembered
+     * @param plansPerTurn sessions looked at in one turn of the loop when a change is told
+     * @param watched documents in the watched folder
      */
-    public record Bounds(int sessions, int pending, int connections, int perBox, int sources, int boxes, int changes) {
+    public record Bounds(int sessions, int pending, int connections, int perBox, int sources, int boxes, int changes,
+            int shown, int plansPerTurn, int watched) {
     }
 
     /**
@@ -80,9 +95,15 @@
      * @param endedKept for which a session's playlist is still given after its end
      * @param source for a box to give a lecture's playlist
      * @param drain at most from the call to end until the end
+     * @param stitchWait a reload waits at most so long for the disk, or for a box that is asked for a piece
+     * @param holders for which it holds that a box has or lacks a piece
+     * @param foundKept for which sessions of the process before may come back
+     * @param alive between two notes in the ledger that the process runs
+     * @param watch between two looks at the watched folder
      */
     public record Times(double answerMargin, double connect, double lease, double silent, double lost, double backoff,
-            double backoffMost, double clockEvery, double endedKept, double source, double drain) {
+            double backoffMost, double clockEvery, double endedKept, double source, double drain, double stitchWait, double holders,
+            double foundKept, double alive, double watch) {
     }
 
     /** Reads a file and checks it whole. */
@@ -143,10 +164,23 @@
         Times waits = new Times(num(times, "answerMarginMs", 40), num(times, "connectMs", 500),
                 num(times, "leaseMs", 1500), num(times, "silentMs", 3000), num(times, "lostMs", 5000),
                 num(times, "backoffMs", 200), num(times, "backoffMostMs", 5000), num(times, "clockEveryMs", 1000),
-                num(times, "endedKeptMs", 30_000), num(times, "sourceMs", 1000), num(times, "drainMs", 10_000));
+                num(times, "endedKeptMs", 30_000), num(times, "sourceMs", 1000), num(times, "drainMs", 10_000),
+                num(times, "stitchWaitMs", 300), num(times, "holdersMs", 60_000), num(times, "foundKeptMs", 120_000),
+                num(times, "aliveMs", 1000), num(times, "watchMs", 1000));
         if (waits.backoffMost() < waits.backoff()) {
             faults.add(name + ": /times/backoffMostMs: at least /times/backoffMs is expected");
         }
+        ChangeKeys changeKeys = ChangeKeys.ANYONE;
+        Map<String, String> keyTexts = new LinkedHashMap<>();
+        n.path("changeKeys").properties().forEach(e -> keyTexts.put(e.getKey(), e.getValue().asText()));
+        try {
+            changeKeys = ChangeKeys.of(keyTexts);
+        } catch (IllegalArgumentException e) {
+            faults.add(name + ": /changeKeys/" + e.getMessage());
+        }
+        if (n.has("changesWatch") && !n.has("operators")) {
+            faults.add(name + ": /operators: an address is expected with /changesWatch");
+        }
         if (!faults.isEmpty()) {
             throw new InvalidDocumentException(faults);
         }
@@ -171,7 +205,8 @@
         JsonNode b = n.path("bounds");
         Bounds bounds = new Bounds(b.path("sessions").asInt(20_000), b.path("pending").asInt(5000),
                 b.path("connections").asInt(50_000), b.path("perBox").asInt(256), b.path("sources").asInt(2000),
-                b.path("boxes").asInt(1000), b.path("changes").asInt(100));
+                b.path("boxes").asInt(1000), b.path("changes").asInt(100),
+                b.path("shown").asInt(200_000), b.path("plansPerTurn").asInt(250), b.path("watched").asInt(1000));
         JsonNode p = n.path("playlist");
         Map<String, Holders> titles = new HashMap<>();
         Map<String, JsonNode> named = new LinkedHashMap<>();
@@ -181,10 +216,16 @@
         return new FrontSettings(settings, manager.path("seed").asLong(1), List.copyOf(classNames),
                 List.copyOf(tenantNames), Map.copyOf(titles), address(n.get("listen")), address(d),
                 d.has("savedList") ? Path.of(d.get("savedList").asText()) : null, bounds, waits,
-                new SessionPlaylist.Shape(p.path("ahead").asInt(3), p.path("behind").asInt(3)),
+                new SessionPlaylist.Shape(p.path("ahead").asInt(3), p.path("behind").asInt(3), p.path("targetS").asInt()),
                 http(n.path("http"), bounds.connections()), loop(n.path("loop")),
                 n.has("operators") ? address(n.get("operators")) : null,
-                n.has("changesFolder") ? Path.of(n.get("changesFolder").asText()) : null);
+                folder(n, "changesFolder"), folder(n, "changesWatch"), changeKeys, folder(n, "sessionsFolder"),
+                n.has("viewerKey") ? HexFormat.of().parseHex(n.get("viewerKey").asText()) : null,
+                Interstitials.valueOf(upper(n, "interstitials", "never")));
+    }
+
+    private static Path folder(JsonNode n, String key) {
+        return n.has(key) ? Path.of(n.get(key).asText()) : null;
     }
 
     private static HttpLimits http(JsonNode n, int connections) {
--- a/front/src/test/java/calicovale/front/SessionPlaylistTest.java
+++ b/front/src/test/java/calicovale/front/SessionPlaylistTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import calicovale.front.playlist.Piece;
 import calicovale.front.playlist.SessionPlaylist;
 import calicovale.front.playlist.Source;
 import calicovale.protocols.hls.HlsException;
@@ -18,7 +19,10 @@
 import org.junit.jupiter.api.Test;
 
 class SessionPlaylistTest {
-    private static final SessionPlaylist.Shape SHAPE = new SessionPlaylist.Shape(2, 2);
+    private static final SessionPlaylist.Shape SHAPE = new SessionPlaylist.Shape(2, 2, 0);
+
+    /** The common time of the tests' begin. */
+    private static final double T0 = 1_700_000_000_000.0;
 
     private static Source source(int segments) throws HlsException {
         StringBuilder text = new StringBuilder("#EXTM3U\n#EXT-X-TARGETDURATION:2\n#EXT-X-MAP:URI=\"init.mp4\"\n");
@@ -35,7 +39,7 @@
     @Test
     void segmentsAreAddedAsTheLecturePlaysAndTakenOffBehind() throws HlsException {
         Source source = source(10);
-        SessionPlaylist p = new SessionPlaylist(SHAPE, 0);
+        SessionPlaylist p = new SessionPlaylist(SHAPE, 0, T0);
         p.extend(source, 3, "http://a/3/", 0);
         assertEquals(List.of("http://a/3/0.m4s", "http://a/3/1.m4s", "http://a/3/2.m4s"), uris(p.render(r -> source)));
         p.extend(source, 3, "http://a/3/", 9000);
@@ -53,7 +57,7 @@
     @Test
     void aChangeOfRungIsADiscontinuityAtASegmentsBorder() throws HlsException {
         Source source = source(10);
-        SessionPlaylist p = new SessionPlaylist(SHAPE, 0);
+        SessionPlaylist p = new SessionPlaylist(SHAPE, 0, T0);
         p.extend(source, 3, "http://a/3/", 0);
         p.extend(source, 1, "http://a/1/", 2500);
         Playlist shown = Playlist.parse(p.render(r -> source));
@@ -68,7 +72,7 @@
     @Test
     void afterALossWhatMayNotHaveComeIsShownAgain() throws HlsException {
         Source source = source(10);
-        SessionPlaylist p = new SessionPlaylist(SHAPE, 0);
+        SessionPlaylist p = new SessionPlaylist(SHAPE, 0, T0);
         p.extend(source, 3, "http://a/3/", 0);
         p.resume(source, 2500, 8000);
         p.extend(source, 2, "http://b/2/", 8000);
@@ -83,12 +87,12 @@
     void aPieceIsPutBetweenTwoSegmentsAndTheLectureGoesOn() throws HlsException {
         Source source = source(10);
         Source storm = source(3);
-        SessionPlaylist p = new SessionPlaylist(SHAPE, 0);
-        SessionPlaylist.Stitcher before2 = (n, s, ms) -> n == 2 && ms == 4000
-                ? new SessionPlaylist.Piece("storm", 1, "http://a/p/1/", storm) : null;
+        SessionPlaylist p = new SessionPlaylist(SHAPE, 0, T0);
+        Piece.Stitcher before2 = (n, s, ms) -> n == 2 && ms == 4000
+                ? new Piece("storm", 1, "http://a/p/1/", storm, 2, 2, null) : null;
         List<String> all = new ArrayList<>();
         for (double now = 0; now < 12_000; now += 1000) {
-            p.extend(source, 3, "http://a/3/", now, now < 1500 ? before2 : SessionPlaylist.Stitcher.NONE);
+            p.extend(source, 3, "http://a/3/", now, now < 1500 ? before2 : Piece.Stitcher.NONE);
             uris(p.render(r -> source)).stream().filter(u -> !all.contains(u)).forEach(all::add);
         }
         assertEquals(List.of("http://a/3/0.m4s", "http://a/3/1.m4s", "http://a/p/1/0.m4s", "http://a/p/1/1.m4s",
@@ -97,7 +101,7 @@
         Playlist.Entry back = shown.entries().stream().filter(e -> e.uri().equals("http://a/3/2.m4s")).findFirst().orElseThrow();
         assertTrue(back.has("EXT-X-DISCONTINUITY") && back.has("EXT-X-MAP"));
         // lost within the piece: the lecture goes on where the piece had been put
-        SessionPlaylist q = new SessionPlaylist(SHAPE, 0);
+        SessionPlaylist q = new SessionPlaylist(SHAPE, 0, T0);
         q.extend(source, 3, "http://a/3/", 0, before2);
         q.extend(source, 3, "http://a/3/", 3000, before2);
         q.resume(source, 5000, 9000);
@@ -113,7 +117,7 @@
         Source storm = source(3);
         for (int seed = 0; seed < 200; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
-            SessionPlaylist p = new SessionPlaylist(SHAPE, 0);
+            SessionPlaylist p = new SessionPlaylist(SHAPE, 0, T0);
             Map<Long, String> given = new HashMap<>();
             Map<Long, Long> discontinuities = new HashMap<>();
             double now = 0;
@@ -129,10 +133,11 @@
                 }
                 now += random.nextInt(3000);
                 int every = 3 + seed % 5;
-                SessionPlaylist.Piece piece = new SessionPlaylist.Piece("storm", 0, "http://" + box + "/p/", storm);
+                String at = box;
                 // each boundary takes a piece once
                 p.extend(source, rung, "http://" + box + "/" + rung + "/", now,
-                        (n, s, ms) -> n % every == 0 && stitched.add(n) ? piece : null);
+                        (n, s, ms) -> n % every == 0 && stitched.add(n)
+                                ? new Piece("storm" + n, 0, "http://" + at + "/p/", storm, n, n + n % 2, null) : null);
                 Playlist shown = Playlist.parse(p.render(r -> source));
                 assertTrue(p.runs() <= SHAPE.ahead() + 1 + SHAPE.behind(), p.runs() + " runs are kept");
                 long sequence = shown.number("EXT-X-MEDIA-SEQUENCE", -1);
--- a/protocols/src/main/java/calicovale/protocols/hls/Attributes.java
+++ b/protocols/src/main/java/calicovale/protocols/hls/Attributes.java
@@ -48,6 +48,13 @@
         return raw != null && raw.startsWith("\"") ? raw.substring(1, raw.length() - 1) : raw;
     }
 
+    /** A list of its own with the same attributes. */
+    public Attributes copy() {
+        Attributes result = new Attributes();
+        result.values.putAll(values);
+        return result;
+    }
+
     /** Sets a value that is written without quotes. */
     public Attributes set(String name, String value) {
         values.put(name, value);
--- a/stitch/src/main/java/calicovale/stitch/Change.java
+++ b/stitch/src/main/java/calicovale/stitch/Change.java
@@ -18,12 +18,15 @@
  * @param atMs common time from which it is due; negative: it is due at a place of the lecture
  * @param lectureS that place, in seconds; negative: it is due at a time
  * @param validUntilMs common time after which it is not begun any more
+ * @param replaceS seconds of the lecture that it stands for; 0: it is inserted and nothing is left out
+ * @param homeCell first cell whose boxes hold the piece; negative: as the managers' settings have it for its title
+ * @param span cells in a row that hold it
  * @param priority of two that are due at one boundary the higher comes first
  * @param oncePerViewer shown once a viewer, over all sessions; else once a session
- * @param json the document as it was told
+ * @param json the document as it was told, in canonical form (RFC 8785), its signature included
  */
 public record Change(String id, String title, List<Rendition> renditions, Audience audience, double atMs, double lectureS,
-        double validUntilMs, int priority, boolean oncePerViewer, String json) {
+        double validUntilMs, double replaceS, int homeCell, int span, int priority, boolean oncePerViewer, String json) {
 
     /**
      * One rendition of a piece.
@@ -49,10 +52,15 @@
         return renditions.get(0).durationsS().stream().mapToDouble(s -> s).sum();
     }
 
-    /** Reads a document and checks it whole; {@code name} leads each fault. */
+    /** Reads a document and checks it whole, whoever signed it; {@code name} leads each fault. */
     public static Change parse(String name, String text) throws InvalidDocumentException {
+        return parse(name, text, ChangeKeys.ANYONE);
+    }
+
+    /** Reads a document and checks it whole, and that one of these keys signed it; {@code name} leads each fault. */
+    public static Change parse(String name, String text, ChangeKeys keys) throws InvalidDocumentException {
         JsonNode n = Documents.check(name, text, Change.class, "change.schema.json");
-        List<String> faults = new ArrayList<>();
+        List<String> faults = new ArrayList<>(keys.faults(name, n));
         List<Rendition> renditions = new ArrayList<>();
         JsonNode list = n.get("piece").get("renditions");
         for (int i = 0; i < list.size(); i++) {
@@ -77,14 +85,21 @@
         if (atMs >= until) {
             faults.add(name + ": /validUntilMs: a time after /start/atMs is expected");
         }
+        boolean replaces = n.path("mode").asText("insert").equals("replace");
+        if (replaces != n.has("replaceS")) {
+            faults.add(name + ": /replaceS: " + (replaces ? "seconds are expected with mode replace"
+                    : "nothing is expected but with mode replace"));
+        }
         if (!faults.isEmpty()) {
             throw new InvalidDocumentException(faults);
         }
         JsonNode whom = n.path("for");
+        JsonNode piece = n.get("piece");
         return new Change(n.get("id").asText(), n.get("piece").get("title").asText(), List.copyOf(renditions),
                 new Audience(names(whom, "titles"), names(whom, "classes"), names(whom, "tenants"), names(whom, "sessions")),
-                atMs, start.path("lectureS").asDouble(-1), until, n.path("priority").asInt(),
-                n.path("once").asText("session").equals("viewer"), n.toString());
+                atMs, start.path("lectureS").asDouble(-1), until, n.path("replaceS").asDouble(), piece.path("homeCell").asInt(-1),
+                piece.path("span").asInt(1), n.path("priority").asInt(),
+                n.path("once").asText("session").equals("viewer"), ChangeKeys.canonical(n));
     }
 
     private static Set<String> names(JsonNode n, String key) {
--- a/stitch/src/main/java/calicovale/stitch/ChangeStore.java
+++ b/stitch/src/main/java/calicovale/stitch/ChangeStore.java
@@ -14,14 +14,16 @@
  * replaced by a snapshot of what counts then. To be used by one thread at a time.
  */
 public final class ChangeStore implements AutoCloseable {
-    private final ChangeLog log;
-    private final ChangeLog.Recovery recovery;
+    private final RecordLog log;
+    private final RecordLog.Recovery recovery;
     private final long snapshotBytes;
     private final Map<String, String> documents = new LinkedHashMap<>();
+    /** The watched files from which documents came, by id. */
+    private final Map<String, String> files = new LinkedHashMap<>();
 
     /** Opens a folder; the log is replaced by a snapshot once it is longer than {@code snapshotBytes}. */
     public ChangeStore(Path folder, long snapshotBytes) throws IOException {
-        ChangeLog.Opened opened = ChangeLog.open(folder);
+        RecordLog.Opened opened = RecordLog.open(folder, "changes");
         log = opened.log();
         recovery = opened.recovery();
         this.snapshotBytes = snapshotBytes;
@@ -29,14 +31,15 @@
             JsonNode n = Documents.MAPPER.readTree(record);
             if (n.has("withdraw")) {
                 documents.remove(n.get("withdraw").asText());
+                files.remove(n.get("withdraw").asText());
             } else {
-                documents.put(n.path("add").path("id").asText(), n.path("add").toString());
+                took(n.path("add").path("id").asText(), ChangeKeys.canonical(n.path("add")), n.path("file").asText(null));
             }
         }
     }
 
     /** What opening found. */
-    public ChangeLog.Recovery recovery() {
+    public RecordLog.Recovery recovery() {
         return recovery;
     }
 
@@ -45,10 +48,24 @@
         return List.copyOf(documents.values());
     }
 
-    /** Keeps a document; it is on disk when this returns. */
-    public void add(String id, String json) throws IOException {
-        log.append(adding(json));
+    /** The watched files from which documents that count came, by the documents' ids. */
+    public Map<String, String> files() {
+        return Map.copyOf(files);
+    }
+
+    private void took(String id, String json, String file) {
         documents.put(id, json);
+        if (file == null) {
+            files.remove(id);
+        } else {
+            files.put(id, file);
+        }
+    }
+
+    /** Keeps a document, and the watched file from which it came or null; it is on disk when this returns. */
+    public void add(String id, String json, String file) throws IOException {
+        log.append(adding(json, file));
+        took(id, json, file);
         shrink();
     }
 
@@ -56,17 +73,18 @@
     public void withdraw(String id) throws IOException {
         log.append(Documents.MAPPER.createObjectNode().put("withdraw", id).toString());
         documents.remove(id);
+        files.remove(id);
         shrink();
     }
 
-    private static String adding(String json) {
-        return "{\"add\":" + json + "}";
+    private static String adding(String json, String file) {
+        return "{\"add\":" + json + (file == null ? "" : ",\"file\":" + Documents.MAPPER.getNodeFactory().textNode(file)) + "}";
     }
 
     private void shrink() throws IOException {
         if (log.length() > snapshotBytes) {
             List<String> now = new ArrayList<>();
-            documents.values().forEach(json -> now.add(adding(json)));
+            documents.forEach((id, json) -> now.add(adding(json, files.get(id))));
             log.snapshot(now);
         }
     }
--- a/stitch/src/main/java/calicovale/stitch/ChangeLog.java
+++ b/stitch/src/main/java/calicovale/stitch/RecordLog.java
@@ -13,13 +13,13 @@
 import java.util.zip.CRC32C;
 
 /**
- * Owns what was told of changes on disk: an append-only log, each record with its length and checksum and forced before it
- * counts, and a snapshot that replaces the log when it has grown. A torn tail is cut off and reported; a record that is
+ * Owns records on disk: an append-only log, each record with its length and checksum and forced before it counts, and a
+ * snapshot that replaces the log when it has grown. A torn tail is cut off and reported; a record that is
  * damaged before the end is an error, since what follows it can't be trusted.
  *
  * <p>Not for two processes at once. Times and order are the records' own; the log knows no clock.
  */
-public final class ChangeLog implements AutoCloseable {
+public final class RecordLog implements AutoCloseable {
     /** Bytes before a record's text: its length and its CRC-32C. */
     private static final int HEAD = 8;
     /** Most bytes of one record: well above the largest document that the schema permits. */
@@ -34,15 +34,15 @@
     private FileChannel channel;
     private long length;
 
-    private ChangeLog(Path folder) {
-        log = folder.resolve("changes.log");
-        snapshot = folder.resolve("changes.snapshot");
+    private RecordLog(Path folder, String name) {
+        log = folder.resolve(name + ".log");
+        snapshot = folder.resolve(name + ".snapshot");
     }
 
-    /** Opens the log of a folder and reads what it holds, the snapshot's records first. */
-    public static Opened open(Path folder) throws IOException {
+    /** Opens a log of a folder by its name and reads what it holds, the snapshot's records first. */
+    public static Opened open(Path folder, String name) throws IOException {
         Files.createDirectories(folder);
-        ChangeLog result = new ChangeLog(folder);
+        RecordLog result = new RecordLog(folder, name);
         List<String> records = new ArrayList<>();
         if (Files.exists(result.snapshot)) {
             byte[] bytes = Files.readAllBytes(result.snapshot);
@@ -67,7 +67,7 @@
     }
 
     /** A log and what it held. */
-    public record Opened(ChangeLog log, Recovery recovery) {
+    public record Opened(RecordLog log, Recovery recovery) {
     }
 
     /** Reads whole records and gives the place after the last of them. */
@@ -119,12 +119,42 @@
 
     /** Appends a record; it is on disk when this returns. */
     public void append(String record) throws IOException {
-        ByteBuffer out = frame(record);
-        while (out.hasRemaining()) {
-            channel.write(out);
+        append(List.of(record));
+    }
+
+    /**
+     * Appends records with one force for all of them; they are on disk when this returns. If it fails none of them counts:
+     * what was written of them is cut off again, and where that fails too the next opening does so.
+     */
+    public void append(List<String> records) throws IOException {
+        try {
+            ByteBuffer out = frames(records);
+            while (out.hasRemaining()) {
+                channel.write(out);
+            }
+            channel.force(false);
+            length = channel.position();
+        } catch (IOException e) {
+            try {
+                channel.truncate(length);
+                channel.position(length);
+            } catch (IOException second) {
+                e.addSuppressed(second);
+            }
+            throw e;
+        }
+    }
+
+    private static ByteBuffer frames(List<String> records) {
+        List<ByteBuffer> each = new ArrayList<>(records.size());
+        int bytes = 0;
+        for (String record : records) {
+            each.add(frame(record));
+            bytes += each.get(each.size() - 1).remaining();
         }
-        channel.force(false);
-        length = channel.position();
+        ByteBuffer out = ByteBuffer.allocate(bytes);
+        each.forEach(out::put);
+        return out.flip();
     }
 
     /** Bytes of the log since the last snapshot. */
@@ -140,11 +170,9 @@
         Path next = snapshot.resolveSibling(snapshot.getFileName() + ".next");
         try (FileChannel out = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
                 StandardOpenOption.WRITE)) {
-            for (String record : records) {
-                ByteBuffer bytes = frame(record);
-                while (bytes.hasRemaining()) {
-                    out.write(bytes);
-                }
+            ByteBuffer bytes = frames(records);
+            while (bytes.hasRemaining()) {
+                out.write(bytes);
             }
             out.force(true);
         }
--- a/stitch/src/test/java/calicovale/stitch/ChangeBookTest.java
+++ b/stitch/src/test/java/calicovale/stitch/ChangeBookTest.java
@@ -24,17 +24,21 @@
     }
 
     private static ChangeBook.Facts facts(String session, String viewer, int floor, double rateKb) {
-        return new ChangeBook.Facts(session, viewer, "t1", "course", "north", floor, rateKb, 1);
+        return new ChangeBook.Facts(session, viewer, "t1", "course", "north", floor, rateKb, 1, false);
+    }
+
+    private static ChangeBook.Decision at(ChangeBook book, ChangeBook.Facts s, double placeS, double ms) {
+        return book.at(book.candidates(s), s, placeS, ms);
     }
 
     private static String shownAt(ChangeBook book, ChangeBook.Facts s, double placeS, double ms) {
-        ChangeBook.Choice choice = book.at(s, placeS, ms).choice();
+        ChangeBook.Choice choice = at(book, s, placeS, ms).choice();
         return choice == null ? null : choice.change().id();
     }
 
     @Test
     void isDueFromItsTimeOrPlaceUntilItsEnd() throws InvalidDocumentException {
-        ChangeBook book = new ChangeBook(10);
+        ChangeBook book = new ChangeBook(10, 1000);
         assertTrue(book.add(change("clock", "\"start\":{\"atMs\":1000},\"validUntilMs\":5000")));
         assertTrue(book.add(change("place", "\"start\":{\"lectureS\":60},\"validUntilMs\":9000")));
         ChangeBook.Facts s = facts("s", "v", 0, 100);
@@ -49,13 +53,13 @@
 
     @Test
     void ofTwoTheHigherPriorityComesFirstAndEachOnce() throws InvalidDocumentException {
-        ChangeBook book = new ChangeBook(10);
+        ChangeBook book = new ChangeBook(10, 1000);
         book.add(change("b", "\"start\":{\"atMs\":0},\"validUntilMs\":5000,\"priority\":1"));
         book.add(change("a", "\"start\":{\"atMs\":0},\"validUntilMs\":5000,\"priority\":1"));
         book.add(change("urgent", "\"start\":{\"atMs\":900},\"validUntilMs\":5000,\"priority\":9,\"once\":\"viewer\""));
         ChangeBook.Facts s = facts("s", "v", 0, 100);
         for (String expected : List.of("urgent", "a", "b")) {
-            ChangeBook.Choice choice = book.at(s, 0, 1000).choice();
+            ChangeBook.Choice choice = at(book, s, 0, 1000).choice();
             assertEquals(expected, choice.change().id());
             book.shown(choice.change(), s);
         }
@@ -66,25 +70,25 @@
 
     @Test
     void aClassesFloorHoldsForThePieceOrItWaits() throws InvalidDocumentException {
-        ChangeBook book = new ChangeBook(10);
+        ChangeBook book = new ChangeBook(10, 1000);
         book.add(change("c", "\"start\":{\"atMs\":0},\"validUntilMs\":5000"));
-        assertEquals(10, book.at(facts("s", "v", 0, 15), 0, 1).choice().rendition().rateKb());
-        ChangeBook.Decision weak = book.at(facts("s", "v", 1, 15), 0, 1);
+        assertEquals(10, at(book, facts("s", "v", 0, 15), 0, 1).choice().rendition().rateKb());
+        ChangeBook.Decision weak = at(book, facts("s", "v", 1, 15), 0, 1);
         assertNull(weak.choice());
         assertEquals(List.of("c"), weak.withoutRendition());
-        assertEquals(20, book.at(facts("s", "v", 1, 59), 0, 1).choice().rendition().rateKb());
-        assertEquals(60, book.at(facts("s", "v", 1, 60), 0, 1).choice().rendition().rateKb());
+        assertEquals(20, at(book, facts("s", "v", 1, 59), 0, 1).choice().rendition().rateKb());
+        assertEquals(60, at(book, facts("s", "v", 1, 60), 0, 1).choice().rendition().rateKb());
     }
 
     @Test
     void isForItsAudienceAloneAndGoneOnceWithdrawn() throws InvalidDocumentException {
-        ChangeBook book = new ChangeBook(1);
+        ChangeBook book = new ChangeBook(1, 1000);
         assertTrue(book.add(change("c", "\"start\":{\"atMs\":0},\"validUntilMs\":5000,\"for\":{\"classes\":[\"course\"],"
                 + "\"tenants\":[\"north\"],\"titles\":[\"t1\",\"t2\"]}")));
         assertFalse(book.add(change("d", "\"start\":{\"atMs\":0},\"validUntilMs\":5000")), "the bound");
         assertEquals("c", shownAt(book, facts("s", "v", 0, 100), 0, 1));
-        assertNull(shownAt(book, new ChangeBook.Facts("s", "v", "t3", "course", "north", 0, 100, 1), 0, 1));
-        assertNull(shownAt(book, new ChangeBook.Facts("s", "v", "t1", "talk", "north", 0, 100, 1), 0, 1));
+        assertNull(shownAt(book, new ChangeBook.Facts("s", "v", "t3", "course", "north", 0, 100, 1, false), 0, 1));
+        assertNull(shownAt(book, new ChangeBook.Facts("s", "v", "t1", "talk", "north", 0, 100, 1, false), 0, 1));
         assertTrue(book.withdraw("c"));
         assertFalse(book.withdraw("c"));
         assertNull(shownAt(book, facts("s", "v", 0, 100), 0, 1));
@@ -109,7 +113,7 @@
             @ForAll @DoubleRange(min = 1, max = 100) double rateKb, @ForAll @DoubleRange(min = 0.5, max = 2) double scale)
             throws InvalidDocumentException {
         Change c = change("c", "\"start\":{\"atMs\":0},\"validUntilMs\":5000");
-        Change.Rendition r = ChangeBook.rendition(c, new ChangeBook.Facts("s", "v", "t", "k", "n", floor, rateKb, scale));
+        Change.Rendition r = ChangeBook.rendition(c, new ChangeBook.Facts("s", "v", "t", "k", "n", floor, rateKb, scale, false));
         boolean possible = c.renditions().stream().anyMatch(x -> x.rung() >= floor && x.rateKb() * scale <= rateKb);
         assertEquals(possible, r != null);
         assertTrue(r == null || r.rung() >= floor && r.rateKb() * scale <= rateKb);
--- a/stitch/src/test/java/calicovale/stitch/ChangeLogTest.java
+++ b/stitch/src/test/java/calicovale/stitch/RecordLogTest.java
@@ -10,13 +10,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-class ChangeLogTest {
+class RecordLogTest {
     @TempDir
     private Path folder;
 
-    private ChangeLog.Recovery write(String... records) throws IOException {
-        ChangeLog.Opened opened = ChangeLog.open(folder);
-        try (ChangeLog log = opened.log()) {
+    private RecordLog.Recovery write(String... records) throws IOException {
+        RecordLog.Opened opened = RecordLog.open(folder, "changes");
+        try (RecordLog log = opened.log()) {
             for (String record : records) {
                 log.append(record);
             }
@@ -40,7 +40,7 @@
                 for (int i = 0; i < 7; i++) {
                     String id = "c" + (round * 3 + i);
                     String json = "{\"id\":\"" + id + "\",\"round\":" + round + "}";
-                    store.add(id, json);
+                    store.add(id, json, null);
                     expected.put(id, json);
                     if (i % 3 == 2) {
                         store.withdraw("c" + (round * 3 + i - 1));
@@ -59,7 +59,7 @@
         int second = 8 + 3;
         for (int cut = second + 1; cut < whole.length; cut++) {
             Files.write(folder.resolve("changes.log"), java.util.Arrays.copyOf(whole, cut));
-            ChangeLog.Recovery recovery = write("after");
+            RecordLog.Recovery recovery = write("after");
             assertEquals(List.of("one"), recovery.records());
             assertEquals(cut - second, recovery.bytesCut());
             assertEquals(List.of("one", "after"), write().records());
@@ -73,7 +73,7 @@
         byte[] bytes = Files.readAllBytes(file);
         bytes[9] ^= 1;
         Files.write(file, bytes);
-        assertThrows(IOException.class, () -> ChangeLog.open(folder));
+        assertThrows(IOException.class, () -> RecordLog.open(folder, "changes"));
         assertEquals(bytes.length, Files.size(file));
     }
 
@@ -81,12 +81,12 @@
     void aSnapshotReplacesTheLogAndACrashBetweenTheTwoLosesNothing() throws IOException {
         write("one", "two");
         byte[] before = Files.readAllBytes(folder.resolve("changes.log"));
-        try (ChangeLog log = ChangeLog.open(folder).log()) {
+        try (RecordLog log = RecordLog.open(folder, "changes").log()) {
             log.snapshot(List.of("both"));
             assertEquals(0, log.length());
             log.append("three");
         }
-        ChangeLog.Recovery recovery = write();
+        RecordLog.Recovery recovery = write();
         assertEquals(List.of("both", "three"), recovery.records());
         assertEquals(1, recovery.ofSnapshot());
         // the snapshot in place, the log not yet emptied
@@ -94,6 +94,6 @@
         assertEquals(List.of("both", "one", "two"), write().records());
         byte[] snapshot = Files.readAllBytes(folder.resolve("changes.snapshot"));
         Files.write(folder.resolve("changes.snapshot"), java.util.Arrays.copyOf(snapshot, snapshot.length - 1));
-        assertThrows(IOException.class, () -> ChangeLog.open(folder));
+        assertThrows(IOException.class, () -> RecordLog.open(folder, "changes"));
     }
 }
