--- a/cli/src/main/java/calicovale/cli/ChangeCommand.java
+++ b/cli/src/main/java/calicovale/cli/ChangeCommand.java
@@ -2,13 +2,18 @@
 
 import calicovale.protocols.json.InvalidDocumentException;
 import calicovale.stitch.Change;
+import calicovale.stitch.ChangeKeys;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.security.GeneralSecurityException;
+import java.security.spec.InvalidKeySpecException;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -30,7 +35,7 @@
 
     @Override
     public Integer call() {
-        throw new ParameterException(spec.commandLine(), "one of add, list, withdraw is expected");
+        throw new ParameterException(spec.commandLine(), "one of add, list, show, withdraw, key, sign is expected");
     }
 
     /** Sends one request to every manager; the status is that of the worst. */
@@ -86,4 +91,51 @@
             throws IOException, InterruptedException {
         return send(managers, "DELETE", "/v1/changes/" + id, "");
     }
+
+    @Command(name = "show", description = "Shows a change and how it fared with the sessions of each manager named.",
+            mixinStandardHelpOptions = true)
+    int show(@Option(names = "--manager", required = true, description = "operators' address of a manager, again for each")
+            List<String> managers, @Parameters(description = "the change's id") String id)
+            throws IOException, InterruptedException {
+        return send(managers, "GET", "/v1/changes/" + id, "");
+    }
+
+    @Command(name = "key", description = "Makes a key by which documents are signed: the private one goes into the file, the "
+            + "public one, for managers' settings, is printed.", mixinStandardHelpOptions = true)
+    int key(@Option(names = "--out", required = true, description = "a file that is not there yet") Path out)
+            throws IOException, GeneralSecurityException {
+        ChangeKeys.Pair pair = ChangeKeys.Pair.make();
+        try {
+            Files.writeString(Files.createFile(out, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------"))),
+                    pair.privateKey() + "\n");
+        } catch (FileAlreadyExistsException e) {
+            throw new ParameterException(spec.commandLine(), "--out: a file that is not there yet is expected: " + out);
+        }
+        spec.commandLine().getOut().println(pair.publicKey());
+        spec.commandLine().getOut().flush();
+        return Main.WELL;
+    }
+
+    @Command(name = "sign", description = "Prints a change's document with its signature.", mixinStandardHelpOptions = true)
+    int sign(@Option(names = "--key", required = true, description = "the private key's file") Path key,
+            @Option(names = "--name", required = true, description = "the key's name in the managers' settings") String name,
+            @Parameters(description = "the change's document") Path file)
+            throws IOException, GeneralSecurityException, InvalidDocumentException {
+        for (Path needed : List.of(key, file)) {
+            if (!Files.isReadable(needed)) {
+                throw new InvalidDocumentException(List.of(needed + ": /: a readable file is expected"));
+            }
+        }
+        String text = Files.readString(file);
+        Change.parse(file.toString(), text);
+        String signed;
+        try {
+            signed = ChangeKeys.sign(text, name, Files.readString(key).strip());
+        } catch (InvalidKeySpecException | IllegalArgumentException e) {
+            throw new InvalidDocumentException(List.of(key + ": /: a private key as 'change key' writes it is expected"));
+        }
+        spec.commandLine().getOut().println(signed);
+        spec.commandLine().getOut().flush();
+        return Main.WELL;
+    }
 }
--- a/cli/src/main/java/calicovale/cli/RehearseCommand.java
+++ b/cli/src/main/java/calicovale/cli/RehearseCommand.java
@@ -37,7 +37,9 @@
         Path folder = out != null ? out : Files.createTempDirectory("calicovale-rehearsal");
         Files.createDirectories(folder);
         Report report;
-        try (Rehearsal run = new Rehearsal(day, folder.resolve("state"))) {
+        // what managers keep is this run's alone: left behind by another it would tell of changes that this day does not have
+        Path state = Files.createTempDirectory("calicovale-state");
+        try (Rehearsal run = new Rehearsal(day, state)) {
             run.start();
             run.play();
             run.counters().forEach((name, count) -> spec.commandLine().getErr().println(name + " " + count));
--- a/cli/src/test/java/calicovale/cli/MainTest.java
+++ b/cli/src/test/java/calicovale/cli/MainTest.java
@@ -116,6 +116,13 @@
         assertEquals(0, Main.run("check", change.toString()));
         assertEquals(0, Main.run("change", "add", "--manager", to, change.toString()));
         assertEquals(0, Main.run("change", "list", "--manager", to));
+        assertEquals(0, Main.run("change", "show", "--manager", to, "c1"));
+        assertEquals(1, Main.run("change", "show", "--manager", to, "c2"));
+        String key = folder.resolve("key").toString();
+        assertEquals(0, Main.run("change", "key", "--out", key));
+        assertEquals(2, Main.run("change", "key", "--out", key), "a key is never written over");
+        assertEquals(0, Main.run("change", "sign", "--key", key, "--name", "ops", change.toString()));
+        assertEquals(2, Main.run("change", "sign", "--key", change.toString(), "--name", "ops", change.toString()));
         assertEquals(0, Main.run("change", "withdraw", "--manager", to, "c1"));
         assertEquals(1, Main.run("change", "withdraw", "--manager", to, "c1"));
         Files.writeString(change, "{\"schema\":\"calicovale/change/1\"}");
--- a/front/src/main/java/calicovale/front/box/BoxLink.java
+++ b/front/src/main/java/calicovale/front/box/BoxLink.java
@@ -42,6 +42,9 @@
         /** A session ended at the box. */
         void onEnded(BoxLink box, String key, String reason, Map<String, Double> load);
 
+        /** A segment, by its path below the session's base, was delivered whole. */
+        void onServed(BoxLink box, String key, String path);
+
         /** The box, asked at {@code askedAtMs} (monotonic), told which of this manager's sessions it has. */
         void onHeld(BoxLink box, Set<String> keys, double askedAtMs);
 
@@ -258,6 +261,8 @@
                     n.path("value").asDouble());
             case "ended" -> listener.onEnded(this, n.path("key").asText(), n.path("reason").asText(),
                     LoadReport.parse(n.path("load").asText("")));
+            case "served" -> n.path("last").properties()
+                    .forEach(e -> listener.onServed(this, e.getKey(), e.getValue().asText()));
             default -> counters.count("box-events-unknown");
         }
     }
--- a/front/src/main/java/calicovale/front/player/SessionKeeper.java
+++ b/front/src/main/java/calicovale/front/player/SessionKeeper.java
@@ -62,7 +62,8 @@
             return true;
         }
         SessionPlaylist p = v.playlist;
-        boolean covered = p.nextSequence() <= v.kept.sequence && p.number() <= v.kept.number && p.endDateMs() <= v.kept.dateMs;
+        boolean covered = p.nextSequence() <= v.kept.sequence && p.number() <= v.kept.number
+                && p.endDateMs() <= dateAt(v.kept.dateMs, v.kept.atMs, p.targetS());
         boolean soon = covered && p.nextSequence() + RESERVE / 2 <= v.kept.sequence && p.number() + 2 <= v.kept.number;
         if (!soon && !v.kept.underWay) {
             reserve(v);
@@ -75,7 +76,8 @@
         Viewing.Kept next = new Viewing.Kept();
         next.sequence = p.nextSequence() + RESERVE;
         next.number = p.number() + RESERVE / 4;
-        next.dateMs = p.endDateMs() + 1000.0 * RESERVE * p.targetS();
+        next.dateMs = p.endDateMs();
+        next.atMs = commonMs.getAsDouble();
         v.kept.underWay = true;
         ledger.keep(entry(v, next));
         ledger.whenKept(() -> {
@@ -88,7 +90,12 @@
         String tenant = settings.tenantNames().isEmpty() ? "" : settings.tenantNames().get(v.tenant);
         return new Entry(v.token, settings.classNames().get(v.sessionClass), tenant, v.viewer, v.title, v.top, v.waitMs,
                 k.sequence, k.number, v.playlist.segmentAt(v.source, nowMs()), v.playlist.targetS(), k.dateMs,
-                commonMs.getAsDouble());
+                k.atMs);
+    }
+
+    /** The date up to which a playlist may have been given by now: it goes on with the time, and one window ahead of it. */
+    private double dateAt(double dateMs, double atMs, long targetS) {
+        return dateMs + Math.max(0, commonMs.getAsDouble() - atMs) + 1000.0 * (settings.playlist().ahead() + 2) * targetS;
     }
 
     /** Calls {@code body} once the steps told until now are on disk, or after a bound without them. */
@@ -123,7 +130,8 @@
             return null;
         }
         SessionPlaylist playlist = new SessionPlaylist(settings.playlist(), nowMs(), commonMs.getAsDouble(),
-                new SessionPlaylist.Progress(e.sequence(), e.number(), e.segment(), e.targetS(), e.dateMs()));
+                new SessionPlaylist.Progress(e.sequence(), e.number(), e.segment(), e.targetS(),
+                        dateAt(e.dateMs(), e.atMs(), e.targetS())));
         Viewing v = new Viewing(token, c, t, e.viewer(), e.title(), e.top(), e.waitMs(), playlist);
         v.given = true;
         v.returning = true;
--- a/front/src/main/java/calicovale/front/player/SessionManager.java
+++ b/front/src/main/java/calicovale/front/player/SessionManager.java
@@ -425,7 +425,7 @@
             });
             return;
         }
-        if (v.playlist.shownRung() < 0 || missing(v) >= 0) {
+        if (v.playlist.runs() == 0 || missing(v) >= 0) {
             counters.count("reloads-failed");
             x.problem(502, "Bad Gateway", "the lecture's playlist can't be had");
             return;
@@ -437,7 +437,7 @@
                 if (x.gone()) {
                     return;
                 }
-                if (v.playlist.shownRung() < 0 || missing(v) >= 0) {
+                if (v.playlist.runs() == 0 || missing(v) >= 0) {
                     // a source was dropped meanwhile
                     route(v, x);
                 } else {
@@ -486,6 +486,7 @@
             Viewing v = new Viewing(token(), beside.sessionClass, beside.tenant, beside.viewer, title, beside.top, beside.waitMs,
                     new SessionPlaylist(settings.playlist(), nowMs(), host.nowMs()));
             v.ofPiece = true;
+            v.beside = beside;
             v.given = true;
             v.holders = holders;
             byToken.put(v.token, v);
@@ -811,6 +812,15 @@
         }
     }
 
+    @Override
+    public void onServed(BoxLink box, String key, String path) {
+        int dot = key.lastIndexOf('.');
+        Viewing v = dot < 0 ? null : byId.get(key.substring(0, dot));
+        if (v != null && v.state == Viewing.State.PLAYING && v.key().equals(key)) {
+            (v.beside != null ? v.beside : v).playlist.served(v.base + path);
+        }
+    }
+
     @Override
     public void onHeld(BoxLink box, Set<String> keys, double askedAtMs) {
         for (Viewing v : new ArrayList<>(playingAt.getOrDefault(box, Set.of()))) {
--- a/front/src/main/java/calicovale/front/player/Viewing.java
+++ b/front/src/main/java/calicovale/front/player/Viewing.java
@@ -35,6 +35,8 @@
     boolean returning;
     /** It is a set-up for a piece beside another session: no player knows of it. */
     boolean ofPiece;
+    /** The session beside which it plays, for set-ups of pieces. */
+    Viewing beside;
     /** Where its title is held; null: as the settings have it. */
     FrontSettings.Holders holders;
     /** Runs whenever the state is another; for set-ups of pieces. */
@@ -63,11 +65,12 @@
     Timer deadline;
     Source source;
 
-    /** Numbers and dates that may be given: they are on disk. */
+    /** Numbers that may be given, and the date that the playlist had reached at a time: they are on disk. */
     static final class Kept {
         long sequence;
         int number;
         double dateMs;
+        double atMs;
         boolean underWay;
     }
 
--- a/front/src/main/java/calicovale/front/playlist/Piece.java
+++ b/front/src/main/java/calicovale/front/playlist/Piece.java
@@ -57,14 +57,30 @@
         return lengthMs() - 1000 * (lecture.startS(to) - lecture.startS(from));
     }
 
-    /** The EXT-X-DATERANGE line that marks it; {@code number} tells apart two times that it is begun. */
-    String dateRange(double dateMs, long number, double replacedS) {
-        Attributes range = new Attributes().quoted("ID", id + "-" + number)
-                .quoted("CLASS", interstitial() ? "com.apple.hls.interstitial" : "org.calicovale.change")
-                .quoted("START-DATE", date(dateMs)).set("DURATION", seconds(source.lengthS()));
-        if (interstitial()) {
-            range.quoted("X-ASSET-URI", asset).set("X-RESUME-OFFSET", seconds(replacedS)).quoted("X-RESTRICT", "SKIP,JUMP");
-        }
+    /**
+     * The EXT-X-DATERANGE line that marks it.
+     *
+     * @param number tells apart two times that it is begun
+     * @param fromS seconds of the piece that were shown before, at a box that was lost
+     * @param listedS its length as it was listed, told once it is over: a loss may cut it; negative: it is not over
+     */
+    String dateRange(double dateMs, long number, double fromS, double listedS) {
+        Attributes range = range("org.calicovale.change", dateMs, number)
+                .set("PLANNED-DURATION", seconds(source.lengthS() - fromS));
+        return line(listedS < 0 ? range : range.set("DURATION", seconds(listedS)));
+    }
+
+    /** The EXT-X-DATERANGE line by which a player plays it as an interstitial, in place of so many seconds. */
+    String interstitial(double dateMs, long number, double replacedS) {
+        return line(range("com.apple.hls.interstitial", dateMs, number).set("DURATION", seconds(source.lengthS()))
+                .quoted("X-ASSET-URI", asset).set("X-RESUME-OFFSET", seconds(replacedS)).quoted("X-RESTRICT", "SKIP,JUMP"));
+    }
+
+    private Attributes range(String kind, double dateMs, long number) {
+        return new Attributes().quoted("ID", id + "-" + number).quoted("CLASS", kind).quoted("START-DATE", date(dateMs));
+    }
+
+    private static String line(Attributes range) {
         return "#EXT-X-DATERANGE:" + range + "\n";
     }
 
--- a/front/src/main/java/calicovale/front/playlist/SessionPlaylist.java
+++ b/front/src/main/java/calicovale/front/playlist/SessionPlaylist.java
@@ -28,14 +28,15 @@
     /**
      * A stretch of one rung from one box.
      *
+     * @param source its segments
      * @param piece null in the lecture
      * @param placed in the lecture how many pieces of the plan lie behind it; else the piece's own place in the plan
      * @param number discontinuities of the playlist up to its first segment
      * @param startMs when its first segment plays
      * @param dateMs the programme's date then
      */
-    private record Run(long firstSequence, int firstSegment, int rung, String base, Piece piece, int placed, int number,
-            double startMs, double dateMs) {
+    private record Run(long firstSequence, int firstSegment, int rung, String base, Source source, Piece piece, int placed,
+            int number, double startMs, double dateMs) {
     }
 
     /** An interstitial, and the segment with which it is told. */
@@ -69,6 +70,10 @@
     private Piece piece;
     private int pieceSegment;
     private int goesOnAt;
+    /** The highest sequence number that a box told to have delivered since the last break; -1: none told. */
+    private long served = -1;
+    /** After a break the last run is over, whatever follows it: how long it was may have been told. */
+    private boolean sealed;
     private double endMs;
     private long targetS;
 
@@ -216,51 +221,87 @@
     }
 
     /**
-     * Goes on at another box after a break that began at {@code lostMs}: segments from the place reached then are shown
-     * again, since those shown last may never have come from the box that is lost; so are pieces from there on.
+     * Goes on at another box after a break that began at {@code lostMs}. Where boxes told which segments were delivered the
+     * next one is shown, else those from the place reached by the clock are shown again, since those shown last may never
+     * have come from the box that is lost; so are pieces from there on.
      */
     public void resume(Source source, double lostMs, double nowMs) {
-        int index = runAt(lostMs);
-        piece = null;
-        goesOnAt = 0;
-        if (index >= 0) {
-            Run run = runs.get(index);
-            if (run.piece() != null) {
-                int reached = segmentOf(index, run.piece().source(), lostMs);
-                nextPlaced = run.placed();
-                nextSegment = run.piece().from();
-                goesOnAt = reached;
-                if (reached >= run.piece().source().count()) {
-                    nextPlaced++;
-                    nextSegment = run.piece().to();
-                    goesOnAt = 0;
-                }
-            } else {
-                nextSegment = Math.min(segmentOf(index, source, lostMs), nextSegment);
-                nextPlaced = run.placed();
-                while (nextPlaced < plan.size() && plan.get(nextPlaced).interstitial()
-                        && plan.get(nextPlaced).from() > run.firstSegment() && plan.get(nextPlaced).from() <= nextSegment) {
-                    nextPlaced++;
-                }
-            }
+        if (!runs.isEmpty()) {
+            goOnAt(source, served >= 0 ? served + 1 : sequenceAt(source, lostMs), nowMs);
         }
-        // the date goes on where it was told to end: it may never run back
-        double date = Math.max(endDateMs(), nowMs + dateOffsetMs);
-        endMs = nowMs;
-        dateOffsetMs = date - nowMs;
     }
 
     /** The segments of a change's piece can't be had any more: what was listed from there on is listed anew without it. */
     public void leaveOut(Source source, String change, double nowMs) {
-        for (Run run : runs) {
+        for (int i = 0; i < runs.size(); i++) {
+            Run run = runs.get(i);
             if (run.piece() != null && run.piece().id().equals(change)) {
-                double at = Math.max(nowMs, run.startMs());
-                resume(source, at, at);
+                goOnAt(source, Math.max(run.firstSequence(), served + 1), nowMs);
                 return;
             }
         }
     }
 
+    /** A box delivered a segment whole; {@code uri} as the playlist has it. */
+    public void served(String uri) {
+        for (int i = runs.size() - 1; i >= 0; i--) {
+            Run run = runs.get(i);
+            if (uri.startsWith(run.base())) {
+                Source of = run.source();
+                for (long sequence = run.firstSequence(); sequence < endOf(i); sequence++) {
+                    if (uri.endsWith(of.uri(run.firstSegment() + (int) (sequence - run.firstSequence())))) {
+                        served = Math.max(served, sequence);
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    private long sequenceAt(Source source, double ms) {
+        int index = runAt(ms);
+        Run run = runs.get(index);
+        int segment = segmentOf(index, run.piece() != null ? run.piece().source() : source, ms);
+        return run.firstSequence() + segment - run.firstSegment();
+    }
+
+    /** What was listed from a sequence number on is listed anew, with what comes from another box. */
+    private void goOnAt(Source source, long sequence, double nowMs) {
+        double at = nowMs;
+        int index = runs.size() - 1;
+        while (index > 0 && runs.get(index).firstSequence() > sequence) {
+            index--;
+        }
+        Run run = runs.get(index);
+        if (sequence >= nextSequence || sealed) {
+            // all that was listed was delivered, or nothing was listed since the last break: it goes on where it is
+            at = Math.max(nowMs, endMs);
+            goesOnAt = piece == null ? goesOnAt : pieceSegment;
+        } else if (run.piece() != null) {
+            goesOnAt = run.firstSegment() + (int) Math.max(0, sequence - run.firstSequence());
+            at = Math.max(nowMs, run.startMs()
+                    + 1000 * (run.piece().source().startS(goesOnAt) - run.piece().source().startS(run.firstSegment())));
+            nextPlaced = run.placed();
+            nextSegment = run.piece().from();
+        } else {
+            goesOnAt = 0;
+            nextSegment = run.firstSegment() + (int) Math.max(0, sequence - run.firstSequence());
+            at = Math.max(nowMs, run.startMs() + 1000 * (source.startS(nextSegment) - source.startS(run.firstSegment())));
+            nextPlaced = run.placed();
+            while (nextPlaced < plan.size() && plan.get(nextPlaced).interstitial()
+                    && plan.get(nextPlaced).from() > run.firstSegment() && plan.get(nextPlaced).from() <= nextSegment) {
+                nextPlaced++;
+            }
+        }
+        piece = null;
+        sealed = true;
+        // the date goes on where it was told to end: it may never run back
+        double date = Math.max(endDateMs(), at + dateOffsetMs);
+        endMs = at;
+        dateOffsetMs = date - at;
+        served = -1;
+    }
+
     /** Adds the segments that are due, at the rung in force. */
     public void extend(Source source, int rung, String base, double nowMs) {
         extend(source, rung, base, nowMs, Piece.Stitcher.NONE);
@@ -322,7 +363,7 @@
             plan.add(nextPlaced, next);
         }
         if (next.interstitial()) {
-            marks.add(new Mark(nextSequence, next.dateRange(endDateMs(), nextSequence,
+            marks.add(new Mark(nextSequence, next.interstitial(endDateMs(), nextSequence,
                     source.startS(next.to()) - source.startS(next.from()))));
             // the player holds the lecture meanwhile: what follows plays later, at the same date
             endMs += next.heldMs(source);
@@ -343,12 +384,13 @@
 
     private void add(Source of, int segment, int rung, String base, Piece part) {
         Run last = runs.isEmpty() ? null : runs.get(runs.size() - 1);
-        boolean joins = last != null && last.rung() == rung && last.base().equals(base) && Objects.equals(last.piece(), part)
+        boolean joins = last != null && !sealed && last.rung() == rung && last.base().equals(base) && Objects.equals(last.piece(), part)
                 && last.firstSegment() + (nextSequence - last.firstSequence()) == segment && !of.broken(segment);
         if (!joins) {
             number += last != null || restored ? 1 : 0;
-            runs.add(new Run(nextSequence, segment, rung, base, part, nextPlaced, number, endMs, endDateMs()));
+            runs.add(new Run(nextSequence, segment, rung, base, of, part, nextPlaced, number, endMs, endDateMs()));
         }
+        sealed = false;
         shownRung = part == null ? rung : shownRung;
         nextSequence++;
         endMs += length(of, segment);
@@ -409,7 +451,7 @@
         out.append('\n');
         for (int i = 0; i < runs.size(); i++) {
             Run run = runs.get(i);
-            Source source = run.piece() != null ? run.piece().source() : sources.at(run.rung());
+            Source source = run.source();
             long end = endOf(i);
             for (; sequence < end; sequence++) {
                 int n = run.firstSegment() + (int) (sequence - run.firstSequence());
@@ -421,7 +463,10 @@
                     double at = run.dateMs() + 1000 * (source.startS(n) - source.startS(run.firstSegment()));
                     out.append("#EXT-X-PROGRAM-DATE-TIME:").append(Piece.date(at)).append('\n');
                     if (run.piece() != null) {
-                        out.append(run.piece().dateRange(run.dateMs(), run.firstSequence(), 0));
+                        double from = source.startS(run.firstSegment());
+                        double listed = source.startS(run.firstSegment() + (int) (end - run.firstSequence())) - from;
+                        boolean over = i + 1 < runs.size() || sealed || !run.piece().equals(piece);
+                        out.append(run.piece().dateRange(run.dateMs(), run.firstSequence(), from, over ? listed : -1));
                     }
                 }
                 while (mark < marks.size() && marks.get(mark).sequence() <= sequence) {
--- a/front/src/main/java/calicovale/front/playlist/Source.java
+++ b/front/src/main/java/calicovale/front/playlist/Source.java
@@ -110,6 +110,11 @@
         return segments.size();
     }
 
+    /** The URI of segment {@code i} as the box wrote it. */
+    String uri(int i) {
+        return segments.get(i).uri();
+    }
+
     /** Whether the box's own playlist has a discontinuity before segment {@code i}. */
     public boolean broken(int i) {
         return segments.get(i).broken();
--- a/protocols/src/main/java/calicovale/protocols/hls/Attributes.java
+++ b/protocols/src/main/java/calicovale/protocols/hls/Attributes.java
@@ -1,7 +1,9 @@
 package calicovale.protocols.hls;
 
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 /** Owns one attribute list (RFC 8216, 4.2): names with values as written, quotes included, in their order. */
 public final class Attributes {
@@ -48,6 +50,11 @@
         return raw != null && raw.startsWith("\"") ? raw.substring(1, raw.length() - 1) : raw;
     }
 
+    /** The names, in their order. */
+    public Set<String> names() {
+        return Collections.unmodifiableSet(values.keySet());
+    }
+
     /** A list of its own with the same attributes. */
     public Attributes copy() {
         Attributes result = new Attributes();
--- a/rehearsal/src/main/java/calicovale/rehearsal/day/Day.java
+++ b/rehearsal/src/main/java/calicovale/rehearsal/day/Day.java
@@ -25,15 +25,17 @@
  * @param directoryLagMs how late the list is
  * @param directoryStartsAtS when the directory is there
  * @param viewers who comes
+ * @param changes programme changes that operators tell
  * @param faults what goes wrong
  */
 public record Day(String name, double seconds, long seed, ObjectNode service, FrontSettings settings, int managers,
         List<Double> skewMs, Boxes boxes, double directoryLagMs, double directoryStartsAtS, Viewers viewers,
-        List<Fault> faults) {
+        List<Telling> changes, List<Fault> faults) {
 
     /** What boxes are like. */
     public record Boxes(int count, double streams, double linkKb, double linkSpread, double setUpMs, double segmentS,
-            int segments, double idleMs, double graceMs, boolean uplinkNotes, Map<String, Integer> pieces, String content) {
+            int segments, double idleMs, double graceMs, boolean uplinkNotes, Map<String, Integer> pieces, List<Integer> piecesOn,
+            String content) {
     }
 
     /** Who comes. */
@@ -49,6 +51,17 @@
     public record Kind(String name, double part, double[] seconds, List<Integer> tops) {
     }
 
+    /**
+     * Operators tell or withdraw a change.
+     *
+     * @param at seconds of the day
+     * @param managers who is told; empty: all
+     * @param change its document, or null; where {@code startsInS} is a number, its start and end are set from then on
+     * @param withdraw id of a change to be withdrawn, or null
+     */
+    public record Telling(double at, List<Integer> managers, ObjectNode change, double startsInS, String withdraw) {
+    }
+
     /** One fault; fields that its kind does not use have no meaning. */
     public record Fault(String kind, double at, double lasts, List<Integer> boxes, int rack, int manager, double value,
             boolean deaf) {
@@ -67,17 +80,21 @@
     /** The same day with another seed. */
     public Day withSeed(long other) {
         return new Day(name, seconds, other, service, settings, managers, skewMs, boxes, directoryLagMs, directoryStartsAtS,
-                viewers, faults);
+                viewers, changes, faults);
     }
 
-    /** A manager's settings of this day. */
-    public FrontSettings settings(int number, int listenPort, int directoryPort, Path savedList) {
+    /** A manager's settings of this day; {@code state}: the folder below which managers keep what outlives them. */
+    public FrontSettings settings(int number, int listenPort, int directoryPort, Path state) {
         ObjectNode n = service.deepCopy();
         n.putObject("manager").put("number", number).put("of", managers).put("seed", seed * 1000 + number);
         n.putObject("listen").put("host", "127.0.0.1").put("port", listenPort);
         ObjectNode d = n.putObject("directory").put("host", "127.0.0.1").put("port", directoryPort);
-        if (savedList != null) {
-            d.put("savedList", savedList.toString());
+        d.put("savedList", state.resolve("list-" + number + ".json").toString());
+        // what managers keep is each one's own
+        for (String folder : List.of("changesFolder", "sessionsFolder")) {
+            if (n.has(folder)) {
+                n.put(folder, state.resolve(n.get(folder).asText()).resolve("m" + number).toString());
+            }
         }
         try {
             return FrontSettings.parse("service", n.toString());
@@ -109,7 +126,8 @@
         Boxes boxes = new Boxes(count, b.get("streams").asDouble(), b.get("linkKb").asDouble(),
                 b.path("linkSpread").asDouble(), b.path("setUpMs").asDouble(20), b.path("segmentS").asDouble(2),
                 b.path("segments").asInt(20), b.path("idleMs").asDouble(8000), b.path("graceMs").asDouble(4000),
-                b.path("uplinkNotes").asBoolean(), BoxSettings.pieces(b.path("pieces")), b.path("content").asText(null));
+                b.path("uplinkNotes").asBoolean(), BoxSettings.pieces(b.path("pieces")), numbers(b.path("piecesOn")),
+                b.path("content").asText(null));
         JsonNode v = n.get("viewers");
         List<Kind> kinds = new ArrayList<>();
         for (int i = 0; i < v.get("classes").size(); i++) {
@@ -133,8 +151,7 @@
         List<Fault> script = new ArrayList<>();
         for (int i = 0; i < n.path("faults").size(); i++) {
             JsonNode f = n.get("faults").get(i);
-            List<Integer> which = new ArrayList<>();
-            f.path("boxes").forEach(box -> which.add(box.asInt()));
+            List<Integer> which = numbers(f.path("boxes"));
             if (which.stream().anyMatch(box -> box >= count)) {
                 faults.add(name + ": /faults/" + i + "/boxes: numbers below " + count + " are expected");
             }
@@ -145,6 +162,22 @@
                     f.path("rack").asInt(), f.path("manager").asInt(), f.path("value").asDouble(),
                     f.path("deaf").asBoolean()));
         }
+        List<Telling> tellings = new ArrayList<>();
+        for (int i = 0; i < n.path("changes").size(); i++) {
+            JsonNode c = n.get("changes").get(i);
+            List<Integer> whom = numbers(c.path("managers"));
+            if (whom.stream().anyMatch(m -> m >= managers)) {
+                faults.add(name + ": /changes/" + i + "/managers: numbers below " + managers + " are expected");
+            }
+            if (c.has("change") == c.has("withdraw")) {
+                faults.add(name + ": /changes/" + i + ": one of change and withdraw is expected");
+            }
+            tellings.add(new Telling(c.get("at").asDouble(), whom, (ObjectNode) c.get("change"),
+                    c.path("startsInS").asDouble(Double.NaN), c.path("withdraw").asText(null)));
+        }
+        if (!tellings.isEmpty() && !whole.has("operators")) {
+            faults.add(name + ": /service/operators: an address is expected with /changes");
+        }
         if (!faults.isEmpty()) {
             throw new InvalidDocumentException(faults);
         }
@@ -157,7 +190,13 @@
                 new Viewers(v.get("perSecond").asDouble(), v.path("titles").asInt(20), v.path("comeAgain").asDouble(0.9),
                         range(v, "comeAgainMs", 1000, 3000), v.path("impatient").asDouble(),
                         range(v, "impatientMs", 5, 200), surges, kinds),
-                script);
+                tellings, script);
+    }
+
+    private static List<Integer> numbers(JsonNode array) {
+        List<Integer> result = new ArrayList<>();
+        array.forEach(v -> result.add(v.asInt()));
+        return List.copyOf(result);
     }
 
     private static double[] range(JsonNode n, String key, double low, double high) {
--- a/rehearsal/src/main/java/calicovale/rehearsal/judge/Report.java
+++ b/rehearsal/src/main/java/calicovale/rehearsal/judge/Report.java
@@ -13,14 +13,15 @@
  * @param day the day's name
  * @param seed its seed
  * @param verdict what was found
+ * @param playlists what was found of playlists and programme changes
  * @param faults the faults and whether they were seen
  * @param extra further figures by name
  */
-public record Report(String day, long seed, Verdict verdict, List<Sightings.Seen> faults, Map<String, Double> extra) {
+public record Report(String day, long seed, Verdict verdict, PlaylistChecker.Findings playlists, List<Sightings.Seen> faults, Map<String, Double> extra) {
 
-    /** Whether the run counts: it was judged and no rule was broken. */
+    /** Whether the run counts: it was judged and no rule was broken, of the service's six or of playlists. */
     public boolean kept() {
-        return verdict.kept();
+        return verdict.kept() && playlists.broken() == 0;
     }
 
     /** The report as JSON; further members may be added, these never change. */
@@ -38,6 +39,11 @@
         faults.forEach(f -> list.addObject().put("kind", f.kind()).put("at", f.atS()).put("seen", f.seen()));
         ArrayNode breaks = n.putArray("breaks");
         verdict.breaks().forEach(breaks::add);
+        ObjectNode lists = n.putObject("playlists").put("checked", playlists.playlists()).put("sessions", playlists.sessions())
+                .put("broken", playlists.broken()).put("changesDue", playlists.due()).put("changesShown", playlists.shown())
+                .put("changesMissed", playlists.missed());
+        ArrayNode of = lists.putArray("breaks");
+        playlists.breaks().forEach(of::add);
         ObjectNode more = n.putObject("figures");
         extra.forEach(more::put);
         return n;
@@ -55,12 +61,17 @@
             out.append(String.format(Locale.ROOT, "  %-20s%10d%10d%s%n", rule, checked, verdict.brokenOf(rule),
                     checked == 0 ? "   not tried" : verdict.brokenOf(rule) > 0 ? "   BROKEN" : ""));
         }
+        out.append(String.format(Locale.ROOT, "%n  %-20s%10d%10d%s%n", "playlists", playlists.playlists(), playlists.broken(),
+                playlists.broken() > 0 ? "   BROKEN" : ""));
+        out.append(String.format(Locale.ROOT, "  programme changes: due %d, shown %d, missed %d%n", playlists.due(),
+                playlists.shown(), playlists.missed()));
         out.append('\n');
         for (Sightings.Seen f : faults) {
             out.append(String.format(Locale.ROOT, "  fault %-20s at %6.1f s%s%n", f.kind(), f.atS(),
                     f.seen() ? "" : "   left no trace on the sockets"));
         }
         extra.forEach((name, value) -> out.append(String.format(Locale.ROOT, "  %-32s%12.1f%n", name, value)));
+        playlists.breaks().forEach(b -> out.append("  ").append(b).append('\n'));
         verdict.breaks().forEach(b -> out.append("  ").append(b).append('\n'));
         return out.toString();
     }
--- a/rehearsal/src/main/java/calicovale/rehearsal/run/Rehearsal.java
+++ b/rehearsal/src/main/java/calicovale/rehearsal/run/Rehearsal.java
@@ -1,12 +1,14 @@
 package calicovale.rehearsal.run;
 
 import calicovale.front.FrontProcess;
+import calicovale.front.ledger.LedgerDesk;
 import calicovale.protocols.net.Clock;
 import calicovale.protocols.net.EventLoop;
 import calicovale.protocols.net.LoopLimits;
 import calicovale.protocols.net.SkewedClock;
 import calicovale.rehearsal.day.Day;
 import calicovale.rehearsal.judge.Figures;
+import calicovale.rehearsal.judge.PlaylistChecker;
 import calicovale.rehearsal.judge.Report;
 import calicovale.rehearsal.judge.RuleChecker;
 import calicovale.rehearsal.judge.Sightings;
@@ -26,6 +28,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.RejectedExecutionException;
@@ -140,7 +143,9 @@
         BoxSettings settings = new BoxSettings(i, Ports.free(), b.streams(), b.linkKb() * size, media.fullFrom(), rules.coldFrom(),
                 rules.warmAfterMs(), rules.tipMultiple(), rules.tipMs(), b.setUpMs(), 300,
                 Math.max(200, media.noteEveryMs()), media.noteDelayMs(), b.uplinkNotes(), b.segmentS(), b.segments(),
-                b.idleMs(), b.graceMs(), 500, b.pieces(), b.content() == null ? null : Path.of(b.content()));
+                b.idleMs(), b.graceMs(), 500, b.piecesOn().isEmpty() || b.piecesOn().contains(i) ? b.pieces() : Map.of(),
+                b.piecesOn().isEmpty() || b.piecesOn().contains(i) ? Set.of() : b.pieces().keySet(),
+                b.content() == null ? null : Path.of(b.content()));
         int rack = i % racks.size();
         MediaBox box = new MediaBox(loopOf(i), settings, racks.get(rack), random.split());
         boxes.add(box);
@@ -158,7 +163,7 @@
 
     private FrontProcess manager(int m, int port) {
         tape.mark("manager-start", "manager:" + m, null);
-        return new FrontProcess(day.settings(m, port, directoryAddress.getPort(), state.resolve("list-" + m + ".json")),
+        return new FrontProcess(day.settings(m, port, directoryAddress.getPort(), state),
                 clocks.get(m), random.split(), new SocketTap(tape, "manager:" + m));
     }
 
@@ -198,7 +203,10 @@
                 script.schedule(1000 * fault.at(), () -> begin(fault));
             }
         });
-        pause((long) (1000 * day.seconds()));
+        try (Operators operators = new Operators(this, tape)) {
+            operators.begin(day.changes());
+            pause((long) (1000 * day.seconds()));
+        }
         run(viewerLoop, audience::close);
         double longest = day.settings().controller().classes().stream().mapToDouble(c -> c.deadlineMs()).max().orElse(0);
         double until = tape.nowMs() + longest + 500;
@@ -279,11 +287,26 @@
                     managers.set(f.manager(), next);
                 });
             }
+            case "disk-stall" -> disk(f, () -> {
+                try {
+                    Thread.sleep(Math.round(f.value()));
+                } catch (InterruptedException e) {
+                    throw new IOException("killed while it wrote", e);
+                }
+            });
+            case "disk-full" -> disk(f, () -> {
+                throw new IOException("No space left on device");
+            });
             case "clock-step" -> clocks.get(f.manager()).step(f.value());
             default -> throw new IllegalStateException("unknown fault " + f.kind());
         }
     }
 
+    private void disk(Day.Fault f, LedgerDesk.DiskFault fault) {
+        managers.get(f.manager()).diskFault(fault);
+        after(f, () -> managers.get(f.manager()).diskFault(LedgerDesk.DiskFault.NONE));
+    }
+
     private interface OnBox {
         void apply(MediaBox box);
     }
@@ -387,8 +410,12 @@
             extra.put("segments played", (double) audience.segmentsPlayed());
             extra.put("segments missed", (double) audience.segmentsMissed());
             extra.put("seconds stalled", audience.stalledMs() / 1000);
+            extra.put("stalls", (double) audience.stalls());
+            extra.put("stalls at a piece", (double) audience.stallsAtPieces());
+            extra.put("playlists that players refused", (double) audience.refusals());
         }
-        return new Report(day.name(), day.seed(), RuleChecker.judge(figures(day), entries), Sightings.of(entries), extra);
+        return new Report(day.name(), day.seed(), RuleChecker.judge(figures(day), entries),
+                PlaylistChecker.judge(figures(day), entries), Sightings.of(entries), extra);
     }
 
     /** The figures by which a day is judged. */
--- a/rehearsal/src/main/java/calicovale/rehearsal/viewers/Audience.java
+++ b/rehearsal/src/main/java/calicovale/rehearsal/viewers/Audience.java
@@ -7,14 +7,18 @@
 import calicovale.protocols.http.HttpLimits;
 import calicovale.protocols.json.Documents;
 import calicovale.protocols.net.EventLoop;
+import calicovale.protocols.net.Timer;
 import calicovale.rehearsal.day.Day;
 import calicovale.rehearsal.day.Day.Kind;
+import calicovale.rehearsal.judge.PlaylistRules.Segment;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Owns all viewers of a day on one loop: each wishes for one lecture, keeps its own deadline, plays the session's playlist
@@ -24,6 +28,9 @@
     private static final byte[] NONE = new byte[0];
     private static final double RELOAD_MS = 2000;
     private static final double SEGMENT_MS = 20_000;
+    /** A player keeps some seconds ahead and waits where it has more. */
+    private static final double BUFFER_TARGETS = 2;
+    private static final Logger LOG = LoggerFactory.getLogger(Audience.class);
 
     private final EventLoop loop;
     private final Day day;
@@ -38,6 +45,9 @@
     private long segmentsPlayed;
     private long segmentsMissed;
     private double stalledMs;
+    private long stalls;
+    private long stallsAtPieces;
+    private long refusals;
 
     /** {@code managers} may change its addresses while the day runs; it is read on the loop. */
     public Audience(EventLoop loop, Day day, RandomGenerator random, List<InetSocketAddress> managers) {
@@ -82,6 +92,21 @@
         return stalledMs;
     }
 
+    /** Times that a viewer's buffer was empty while it played. */
+    public long stalls() {
+        return stalls;
+    }
+
+    /** Those at a segment of a piece or right behind one. */
+    public long stallsAtPieces() {
+        return stallsAtPieces;
+    }
+
+    /** Playlists that a strict player refused. */
+    public long refusals() {
+        return refusals;
+    }
+
     private double nowMs() {
         return loop.clock().nanos() / 1e6;
     }
@@ -124,8 +149,12 @@
         private int tries;
         private InetSocketAddress manager;
         private String media;
-        private long nextSequence = -1;
-        private double bufferedUntilMs;
+        private Follower follower;
+        private boolean fetching;
+        private boolean reloading;
+        private Timer wake;
+        /** What managers gave it to carry, as a browser would (RFC 6265). */
+        private String cookie;
         private boolean over;
         private int playing;
 
@@ -167,14 +196,16 @@
             int m = random.nextInt(managers.size());
             manager = managers.get(m);
             media = null;
-            nextSequence = -1;
-            bufferedUntilMs = 0;
+            follower = new Follower(BUFFER_TARGETS);
+            fetching = false;
+            reloading = false;
             int play = ++playing;
             String target = "/v1/lectures/" + title + "/index.m3u8?class=" + kind.name() + "&top=" + top + "&viewer=v"
                     + number + "&try=" + ++tries + (again ? "&retry=1&returning=1" : "");
             boolean impatient = random.nextDouble() < day.viewers().impatient();
             double patience = impatient ? within(day.viewers().impatientMs()) : deadlineMs;
-            front.send(manager, "manager:" + m, "GET", target, new Headers(), NONE, patience, (head, body, failure) -> {
+            Headers headers = cookie == null ? new Headers() : new Headers().add("Cookie", cookie);
+            front.send(manager, "manager:" + m, "GET", target, headers, NONE, patience, (head, body, failure) -> {
                 if (over || play != playing) {
                     return;
                 }
@@ -217,6 +248,7 @@
                 leave();
                 return;
             }
+            reloading = true;
             front.send(manager, "manager", "GET", media, new Headers(), NONE, Math.max(RELOAD_MS, deadlineMs), (head, body, failure) -> {
                 if (over || play != playing) {
                     return;
@@ -232,60 +264,69 @@
                 } else if (failure != null || head.status() != 200) {
                     comeAgain(0);
                 } else {
-                    play(play, new String(body, StandardCharsets.UTF_8));
+                    reloading = false;
+                    String set = head.headers().get("Set-Cookie");
+                    cookie = set == null ? cookie : set.split(";", 2)[0];
+                    List<String> faults = follower.playlist(new String(body, StandardCharsets.UTF_8), nowMs());
+                    if (faults.isEmpty()) {
+                        step(play);
+                    } else {
+                        refusals++;
+                        LOG.warn("viewer {} refuses its playlist: {}", number, faults.get(0));
+                        leave();
+                    }
                 }
             });
         }
 
-        /** Takes the next segment of a playlist, or asks for the playlist again. */
-        private void play(int play, String text) {
-            long sequence = 0;
-            double seconds = 0;
-            double target = 1;
-            for (String line : text.split("\n")) {
-                if (line.startsWith("#EXT-X-MEDIA-SEQUENCE:")) {
-                    sequence = Long.parseLong(line.substring(22));
-                } else if (line.startsWith("#EXT-X-TARGETDURATION:")) {
-                    target = Double.parseDouble(line.substring(22));
-                } else if (line.startsWith("#EXTINF:")) {
-                    seconds = Double.parseDouble(line.substring(8, line.indexOf(',')));
-                } else if (!line.startsWith("#") && !line.isEmpty()) {
-                    if (sequence >= nextSequence) {
-                        nextSequence = sequence + 1;
-                        fetch(play, line, seconds, text);
-                        return;
-                    }
-                    sequence++;
-                }
+        /** Does what is due: the next segment while the buffer has room, the playlist when its timer says so. */
+        private void step(int play) {
+            if (over || play != playing) {
+                return;
             }
-            if (text.contains("#EXT-X-ENDLIST")) {
+            double now = nowMs();
+            if (now >= untilMs || follower.over() && !fetching) {
                 leave();
                 return;
             }
-            loop.schedule(Math.max(200, target * 500), () -> reload(play));
+            Segment next = fetching ? null : follower.next();
+            if (next != null && now >= follower.roomAtMs()) {
+                fetch(play, next);
+            }
+            if (!reloading && now >= follower.reloadAtMs()) {
+                reload(play);
+            }
+            double due = reloading ? Double.POSITIVE_INFINITY : follower.reloadAtMs();
+            due = fetching || follower.next() == null ? due : Math.min(due, follower.roomAtMs());
+            if (wake != null) {
+                wake.cancel();
+            }
+            wake = loop.schedule(Math.max(1, Math.min(due, untilMs) - nowMs()), () -> step(play));
         }
 
-        private void fetch(int play, String uri, double seconds, String text) {
-            URI at = URI.create(uri);
+        private void fetch(int play, Segment s) {
+            fetching = true;
+            follower.fetching(s);
+            URI at = URI.create(s.uri());
             InetSocketAddress box = new InetSocketAddress(at.getHost(), at.getPort());
             segments.send(box, "segments", "GET", at.getRawPath(), new Headers(), NONE, SEGMENT_MS, (head, body, failure) -> {
                 if (over || play != playing) {
                     return;
                 }
+                fetching = false;
                 if (failure != null || head.status() != 200) {
                     segmentsMissed++;
-                    loop.schedule(200, () -> reload(play));
-                    return;
-                }
-                segmentsPlayed++;
-                double now = nowMs();
-                if (bufferedUntilMs > 0 && now > bufferedUntilMs) {
-                    stalledMs += now - bufferedUntilMs;
+                    follower.missed(nowMs());
+                } else {
+                    segmentsPlayed++;
+                    double empty = follower.arrived(s, nowMs());
+                    if (empty > 0) {
+                        stalledMs += empty;
+                        stalls++;
+                        stallsAtPieces += follower.atPiece() ? 1 : 0;
+                    }
                 }
-                bufferedUntilMs = Math.max(bufferedUntilMs, now) + 1000 * seconds;
-                // a player keeps some seconds ahead and waits where it has more
-                double ahead = bufferedUntilMs - now - 2000 * seconds;
-                loop.schedule(Math.max(0, ahead), () -> play(play, text));
+                step(play);
             });
         }
     }
--- a/rehearsal/src/test/java/calicovale/rehearsal/Stage.java
+++ b/rehearsal/src/test/java/calicovale/rehearsal/Stage.java
@@ -5,7 +5,9 @@
 import calicovale.protocols.json.Documents;
 import calicovale.protocols.json.InvalidDocumentException;
 import calicovale.rehearsal.day.Day;
+import calicovale.rehearsal.judge.PlaylistRules;
 import calicovale.rehearsal.judge.Report;
+import calicovale.rehearsal.run.Operators;
 import calicovale.rehearsal.run.Rehearsal;
 import calicovale.rehearsal.tape.Entry;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -76,7 +78,11 @@
     }
 
     URI at(String path) {
-        InetSocketAddress a = run.addresses().get(0);
+        return at(0, path);
+    }
+
+    URI at(int manager, String path) {
+        InetSocketAddress a = run.addresses().get(manager);
         return URI.create("http://127.0.0.1:" + a.getPort() + path);
     }
 
@@ -101,6 +107,57 @@
         return answer;
     }
 
+    HttpResponse<String> askAt(int manager, String k, String viewer, String header, String value) throws IOException,
+            InterruptedException {
+        return client.send(HttpRequest.newBuilder(at(manager, "/v1/lectures/t1/index.m3u8?class=" + k + "&viewer=" + viewer))
+                .header(header, value).timeout(Duration.ofSeconds(20)).build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** An answer, or one of status 0 where the peer was not there: it may be coming back. */
+    HttpResponse<String> getQuietly(URI uri) {
+        while (true) {
+            try {
+                return get(uri);
+            } catch (IOException e) {
+                pause();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(20);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Operators tell managers of a change, as a day's do, and the tape hears of it. */
+    void tell(Day.Telling telling) {
+        try (Operators operators = new Operators(run, run.tape())) {
+            operators.tell(telling);
+        }
+    }
+
+    /** A manager is killed and comes back. */
+    void kill(int manager) {
+        var killed = run.managers().get(manager);
+        run.happen(new Day.Fault("manager-kill", 0, 0.05, List.of(), 0, manager, 0, false));
+        await("a new process", () -> run.managers().get(manager) != killed);
+        run.managers().get(manager).address();
+    }
+
+    /** The segments of a playlist that an EXT-X-DATERANGE marks as a piece's. */
+    List<String> ofPiece(String playlist) {
+        PlaylistRules rules = new PlaylistRules();
+        assertTrue(rules.take(playlist).isEmpty());
+        return rules.segments().stream().filter(x -> rules.ranges().values().stream()
+                .anyMatch(r -> x.dateMs() >= r.startMs() - 3 && x.dateMs() < r.startMs() + 1000 * r.seconds() - 3))
+                .map(PlaylistRules.Segment::uri).toList();
+    }
+
     HttpResponse<String> get(URI uri) throws IOException, InterruptedException {
         return client.send(HttpRequest.newBuilder(uri).timeout(Duration.ofSeconds(20)).build(),
                 HttpResponse.BodyHandlers.ofString());
--- a/rehearsal/src/test/java/calicovale/rehearsal/StitchTest.java
+++ b/rehearsal/src/test/java/calicovale/rehearsal/StitchTest.java
@@ -4,12 +4,21 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import calicovale.protocols.hls.Playlist;
+import calicovale.protocols.json.Documents;
+import calicovale.rehearsal.day.Day;
+import calicovale.stitch.ChangeKeys;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -21,11 +30,6 @@
     @TempDir
     private Path state;
 
-    private Stage stage() throws Exception {
-        return new Stage(state, "/service/operators", OPERATORS, "/service/changesFolder", "\"" + state.resolve("changes") + "\"",
-                "/boxes/pieces", "{\"storm\": 3}");
-    }
-
     private static String change(String id, int lowestRung) {
         return "{\"schema\":\"calicovale/change/1\",\"id\":\"" + id + "\",\"piece\":{\"title\":\"storm\",\"renditions\":[{\"rung\":"
                 + lowestRung + ",\"rateKb\":5,\"durationsS\":[0.5,0.5,0.5]}]},\"start\":{\"lectureS\":1},\"validUntilMs\":9e12}";
@@ -40,7 +44,7 @@
     @Test
     void aChangeIsShownAtItsPlaceAndTheLectureGoesOn() throws Exception {
         try (Stage stage = stage()) {
-            assertEquals(201, tell(stage, "POST", "/v1/changes", change("storm-1", 1)).statusCode());
+            told(stage, 0, change("storm-1", 1));
             String media = Stage.media(stage.ask("contractor-course", "v1"));
             String[] shown = {""};
             Stage.await("the piece is shown and the lecture goes on", () -> {
@@ -106,4 +110,245 @@
             stage.end();
         }
     }
+
+    // --- Hard cases ---
+
+    private Stage stage(String... more) throws Exception {
+        List<String> all = new ArrayList<>(List.of("/service/operators", OPERATORS, "/service/changesFolder", "\"changes\"",
+                "/service/sessionsFolder", "\"sessions\"", "/boxes/pieces", "{\"storm\": 3}", "/boxes/segments", "200"));
+        all.addAll(List.of(more));
+        return new Stage(state, all.toArray(new String[0]));
+    }
+
+    /** A change that is due now, with the ladder's own rates. */
+    private static String now(String id, String more) {
+        StringBuilder renditions = new StringBuilder();
+        for (int rung = 0; rung < 4; rung++) {
+            renditions.append(rung == 0 ? "" : ",").append("{\"rung\":").append(rung).append(",\"rateKb\":")
+                    .append(5 << rung).append(",\"durationsS\":[0.5,0.5,0.5]}");
+        }
+        return "{\"schema\":\"calicovale/change/1\",\"id\":\"" + id + "\",\"piece\":{\"title\":\"storm\",\"renditions\":["
+                + renditions + "]},\"start\":{\"atMs\":1},\"validUntilMs\":9000000000000" + more + "}";
+    }
+
+    private static void told(Stage stage, int manager, String document) throws Exception {
+        stage.tell(new Day.Telling(0, List.of(manager), (ObjectNode) Documents.MAPPER.readTree(document), Double.NaN, null));
+    }
+
+    /** Reloads as a player would until a playlist fits; gives it. */
+    private static String until(Stage stage, URI media, String what, Predicate<String> fits) {
+        String[] shown = {""};
+        Stage.await(what, () -> {
+            HttpResponse<String> answer = stage.getQuietly(media);
+            shown[0] = answer.statusCode() == 200 ? answer.body() : shown[0];
+            return answer.statusCode() == 200 && fits.test(shown[0]);
+        });
+        return shown[0];
+    }
+
+    private static boolean storm(String playlist) {
+        return playlist.contains("/p/storm/");
+    }
+
+    /** The piece is listed whole and the lecture goes on behind it. */
+    private static boolean behind(String playlist) {
+        List<String> all = Stage.segments(playlist);
+        return storm(playlist) && !all.get(all.size() - 1).contains("/p/storm/");
+    }
+
+    @Test
+    void aManagerKilledWithTheChangeGivenGoesOnAboveItAndShowsItNoMore() throws Exception {
+        try (Stage stage = stage()) {
+            URI media = stage.at(Stage.media(stage.ask("talk", "v1")));
+            until(stage, media, "the lecture plays", p -> Stage.segments(p).size() > 3);
+            told(stage, 0, now("storm-1", ""));
+            String last = until(stage, media, "the piece is listed", StitchTest::storm);
+            long given = Playlist.parse(last).number("EXT-X-MEDIA-SEQUENCE", -1) + Stage.segments(last).size();
+            stage.kill(0);
+            String after = until(stage, media, "the session is back at its URL", p -> !storm(p));
+            assertTrue(Playlist.parse(after).number("EXT-X-MEDIA-SEQUENCE", -1) >= given, after);
+            until(stage, media, "the lecture goes on", p -> Stage.segments(p).size() > 6 && !storm(p));
+            assertEquals(1, stage.counter("sessions-back"));
+            assertEquals(1, stage.end().playlists().shown());
+        }
+    }
+
+    @Test
+    void aManagerKilledWhileTheShowingGoesToTheDiskHasNotGivenIt() throws Exception {
+        try (Stage stage = stage("/service/times/stitchWaitMs", "100")) {
+            URI media = stage.at(Stage.media(stage.ask("talk", "v1")));
+            until(stage, media, "the lecture plays", p -> Stage.segments(p).size() > 3);
+            stage.run.happen(new Day.Fault("disk-stall", 0, 0, List.of(), 0, 0, 20_000, false));
+            told(stage, 0, now("storm-1", ""));
+            Stage.await("a boundary is passed without the disk", () -> {
+                assertTrue(!storm(stage.getQuietly(media).body()));
+                return stage.counter("changes-waits-over") > 0;
+            });
+            stage.kill(0);
+            until(stage, media, "the piece is listed by the next process", StitchTest::storm);
+            until(stage, media, "the lecture goes on", p -> behind(p));
+            stage.end();
+        }
+    }
+
+    @Test
+    void aFullDiskIsToldOfAndTheChangeIsShownAllTheSame() throws Exception {
+        try (Stage stage = stage()) {
+            stage.run.happen(new Day.Fault("disk-full", 0, 0, List.of(), 0, 0, 0, false));
+            URI media = stage.at(Stage.media(stage.ask("talk", "v1")));
+            told(stage, 0, now("storm-1", ""));
+            until(stage, media, "the piece is played out", p -> behind(p));
+            assertTrue(stage.counter("sessions-log-failed") > 0);
+            stage.end();
+        }
+    }
+
+    @Test
+    void aPieceThatTheBoxLacksIsSetUpAtAHolder() throws Exception {
+        try (Stage stage = stage("/boxes/piecesOn", "[1]")) {
+            List<URI> all = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                all.add(stage.at(Stage.media(stage.askUntilItPlays("contractor-course", "v" + i))));
+            }
+            told(stage, 0, now("storm-1", ""));
+            Set<URI> whole = new HashSet<>();
+            Stage.await("all are shown the whole piece", () -> {
+                for (URI media : all) {
+                    HttpResponse<String> answer = stage.getQuietly(media);
+                    List<String> piece = answer.statusCode() == 200 ? stage.ofPiece(answer.body()) : List.of();
+                    if (piece.size() == 3 && whole.add(media)) {
+                        for (String segment : piece) {
+                            assertEquals(1, stage.boxOf(segment), segment);
+                            assertEquals(200, stage.getQuietly(URI.create(segment)).statusCode(), segment);
+                        }
+                    }
+                }
+                return whole.size() == all.size();
+            });
+            assertTrue(stage.counter("piece-set-ups") > 0, "no session was at another box");
+            assertEquals(6, stage.end().playlists().shown());
+        }
+    }
+
+    @Test
+    void aBoxThatDiesWithinAPieceDoesNotTakeItAlong() throws Exception {
+        try (Stage stage = stage()) {
+            URI media = stage.at(Stage.media(stage.ask("talk", "v1")));
+            told(stage, 0, now("storm-1", ""));
+            String shown = until(stage, media, "the piece is listed", StitchTest::storm);
+            int box = stage.boxOf(Stage.segments(shown).get(0));
+            stage.run.happen(Stage.fault("crash", 0, 0.0, box));
+            String on = until(stage, media, "the piece goes on at another box, and the lecture behind it",
+                    p -> behind(p) && stage.ofPiece(p).stream().anyMatch(x -> stage.boxOf(x) != box));
+            assertTrue(Playlist.parse(on).entries().stream().anyMatch(e -> e.has("EXT-X-DISCONTINUITY")));
+            stage.end();
+        }
+    }
+
+    @Test
+    void twoManagersToldApartShowItOnceToAViewerThatComesAgain() throws Exception {
+        try (Stage stage = stage("/managers", "{\"count\": 2}", "/service/viewerKey", "\"00112233445566778899aabbccddeeff\"")) {
+            URI media = stage.at(Stage.media(stage.ask("talk", "v1")));
+            String once = now("storm-1", ",\"once\":\"viewer\"");
+            told(stage, 0, once);
+            until(stage, media, "the piece is listed", StitchTest::storm);
+            String cookie = stage.getQuietly(media).headers().firstValue("Set-Cookie").orElseThrow().split(";")[0];
+            // the other manager hears of it only when the viewer is there
+            URI again = stage.at(1, Stage.media(stage.askAt(1, "talk", "v1", "Cookie", cookie)));
+            URI forged = stage.at(1, Stage.media(stage.askAt(1, "talk", "v2", "Cookie", cookie)));
+            told(stage, 1, once);
+            until(stage, forged, "another's cookie is none", StitchTest::storm);
+            String shown = until(stage, again, "the lecture plays on", p -> Stage.segments(p).size() > 6);
+            assertTrue(!storm(shown), shown);
+            assertEquals(1, stage.counter("cookies-refused"));
+            stage.end();
+        }
+    }
+
+    @Test
+    void aPlayerThatAsksForInterstitialsGetsTheSecondPublishedWay() throws Exception {
+        try (Stage stage = stage("/service/interstitials", "\"asked\"")) {
+            URI media = stage.at(Stage.media(stage.askAt(0, "talk&interstitials=1", "v1", "Accept", "*/*")));
+            URI plain = stage.at(Stage.media(stage.ask("talk", "v2")));
+            told(stage, 0, now("storm-1", ""));
+            String shown = until(stage, media, "the mark is listed", p -> p.contains("com.apple.hls.interstitial"));
+            assertTrue(!storm(shown), shown);
+            String asset = shown.substring(shown.indexOf("X-ASSET-URI=\"") + 13);
+            Playlist piece = Playlist.parse(stage.get(stage.at(asset.substring(0, asset.indexOf('"')))).body());
+            assertEquals(3, piece.entries().size());
+            assertTrue(piece.ended());
+            assertEquals(200, stage.get(URI.create(piece.entries().get(2).uri())).statusCode());
+            until(stage, plain, "others have it stitched", StitchTest::storm);
+            stage.end();
+        }
+    }
+
+    @Test
+    void onlyWhatAListedKeySignedIsTaken() throws Exception {
+        ChangeKeys.Pair pair = ChangeKeys.Pair.make();
+        try (Stage stage = stage("/service/changeKeys", "{\"ops\": \"" + pair.publicKey() + "\"}")) {
+            String document = now("storm-1", "");
+            HttpResponse<String> unsigned = tell(stage, "POST", "/v1/changes", document);
+            assertEquals(422, unsigned.statusCode());
+            assertTrue(unsigned.body().contains("/signature: a signature by one of [ops]"), unsigned.body());
+            String signed = ChangeKeys.sign(document, "ops", pair.privateKey());
+            HttpResponse<String> altered = tell(stage, "POST", "/v1/changes", signed.replace("storm-1", "storm-2"));
+            assertTrue(altered.body().contains("/signature/value"), altered.body());
+            String foreign = ChangeKeys.sign(document, "other", pair.privateKey());
+            assertTrue(tell(stage, "POST", "/v1/changes", foreign).body().contains("/signature/key"));
+            assertEquals("[]", tell(stage, "GET", "/v1/changes", "").body());
+            HttpResponse<String> taken = tell(stage, "POST", "/v1/changes", signed);
+            assertEquals(201, taken.statusCode(), taken.body());
+            assertTrue(taken.body().contains("\"validUntilMs\":9000000000000"), taken.body());
+            stage.end();
+        }
+    }
+
+    @Test
+    void aWatchedFolderTellsWhatComesAndWithdrawsWhatGoes() throws Exception {
+        Path watched = Files.createDirectories(state.resolve("watched"));
+        Files.writeString(watched.resolve("a.json"), now("a", ""));
+        try (Stage stage = stage("/service/changesWatch", "\"" + watched + "\"", "/service/times/watchMs", "20")) {
+            Stage.await("it is told", () -> stage.counter("changes-told") == 1);
+            Files.writeString(watched.resolve("b.json"), "{\"id\":");
+            Stage.await("a bad one is refused", () -> stage.counter("changes-refused") > 0);
+            Files.writeString(watched.resolve("b.json"), now("b", ""));
+            Stage.await("when it is whole it is told", () -> stage.counter("changes-told") == 2);
+            stage.kill(0);
+            Files.delete(watched.resolve("a.json"));
+            Stage.await("gone over a restart, it is withdrawn", () -> stage.counter("changes-withdrawn") == 1);
+            String listed = tell(stage, "GET", "/v1/changes", "").body();
+            assertTrue(listed.contains("\"id\":\"b\"") && !listed.contains("\"id\":\"a\""), listed);
+            stage.end();
+        }
+    }
+
+    @Test
+    void withdrawnWhileItPlaysItIsPlayedOutAndBeginsForNobodyElse() throws Exception {
+        try (Stage stage = stage()) {
+            URI media = stage.at(Stage.media(stage.ask("talk", "v1")));
+            told(stage, 0, now("storm-1", ""));
+            until(stage, media, "the piece is listed", StitchTest::storm);
+            stage.tell(new Day.Telling(0, List.of(0), null, Double.NaN, "storm-1"));
+            String shown = until(stage, media, "it is played out", p -> behind(p));
+            assertEquals(3, stage.ofPiece(shown).size(), shown);
+            URI other = stage.at(Stage.media(stage.askUntilItPlays("talk", "v2")));
+            assertTrue(!storm(until(stage, other, "another plays", p -> Stage.segments(p).size() > 5)));
+            stage.end();
+        }
+    }
+
+    @Test
+    void aReplacedStretchOfTheLectureIsLeftOut() throws Exception {
+        try (Stage stage = stage()) {
+            String document = now("storm-1", ",\"mode\":\"replace\",\"replaceS\":1.5").replace("\"atMs\":1", "\"lectureS\":1");
+            assertEquals(422, tell(stage, "POST", "/v1/changes", document.replace(",\"replaceS\":1.5", "")).statusCode());
+            told(stage, 0, document);
+            URI media = stage.at(Stage.media(stage.ask("talk", "v1")));
+            List<String> all = Stage.segments(until(stage, media, "it is replaced", p -> behind(p)));
+            int from = all.indexOf(all.stream().filter(s -> s.contains("/p/storm/")).findFirst().orElseThrow());
+            assertTrue(all.get(from - 1).endsWith("/1.m4s") && all.get(from + 3).endsWith("/5.m4s"), all.toString());
+            stage.end();
+        }
+    }
 }
--- a/standin/src/main/java/calicovale/standin/BoxSettings.java
+++ b/standin/src/main/java/calicovale/standin/BoxSettings.java
@@ -6,8 +6,10 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What one stand-in box is.
@@ -32,12 +34,13 @@
  * @param graceMs without its manager's stream after which a session ends
  * @param beatMs between beats on its streams
  * @param pieces titles of made-up pieces with their number of segments; all other titles are lectures
+ * @param absent titles that this box does not hold; it holds all others
  * @param content folder of HLS content as {@code title/rung.m3u8}, or null: made up
  */
 public record BoxSettings(long id, InetSocketAddress listen, double streams, double linkKb, double fullFrom,
         double coldFrom, double warmAfterMs, double tipMultiple, double tipMs, double setUpMs, double reportEveryMs,
         double noteEveryMs, double noteDelayMs, boolean uplinkNotes, double segmentS, int segments, double idleMs,
-        double graceMs, double beatMs, Map<String, Integer> pieces, Path content) {
+        double graceMs, double beatMs, Map<String, Integer> pieces, Set<String> absent, Path content) {
 
     /** Reads a file and checks it whole. */
     public static BoxSettings read(Path file) throws InvalidDocumentException {
@@ -62,6 +65,8 @@
         if (content != null && !java.nio.file.Files.isDirectory(Path.of(content))) {
             throw new InvalidDocumentException(List.of("/content: a folder is expected: " + content));
         }
+        Set<String> absent = new HashSet<>();
+        n.path("absent").forEach(title -> absent.add(title.asText()));
         return new BoxSettings(n.get("id").asLong(), new InetSocketAddress(at.get("host").asText(), at.get("port").asInt()),
                 n.get("streams").asDouble(), n.get("linkKb").asDouble(), n.path("fullFrom").asDouble(1),
                 n.path("coldFrom").asDouble(0.3), n.path("warmAfterMs").asDouble(10_000),
@@ -69,6 +74,6 @@
                 n.path("reportEveryMs").asDouble(300), n.path("noteEveryMs").asDouble(3000),
                 n.path("noteDelayMs").asDouble(700), n.path("uplinkNotes").asBoolean(), n.path("segmentS").asDouble(2),
                 n.path("segments").asInt(20), n.path("idleMs").asDouble(10_000), n.path("graceMs").asDouble(5000),
-                n.path("beatMs").asDouble(1000), pieces(n.path("pieces")), content == null ? null : Path.of(content));
+                n.path("beatMs").asDouble(1000), pieces(n.path("pieces")), absent, content == null ? null : Path.of(content));
     }
 }
--- a/standin/src/main/java/calicovale/standin/Lectures.java
+++ b/standin/src/main/java/calicovale/standin/Lectures.java
@@ -12,8 +12,16 @@
         this.settings = settings;
     }
 
+    /** Whether the box holds a title: what exists decides, or for made-up content what it was told that it lacks. */
+    boolean holds(String title) {
+        return settings.content() != null ? Files.isDirectory(settings.content().resolve(title)) : !settings.absent().contains(title);
+    }
+
     /** A lecture's media playlist at a rung, or null. */
     String playlist(String title, int rung) throws IOException {
+        if (!holds(title)) {
+            return null;
+        }
         if (settings.content() != null) {
             Path file = settings.content().resolve(title).resolve(rung + ".m3u8").normalize();
             return file.startsWith(settings.content()) && Files.isRegularFile(file) ? Files.readString(file) : null;
@@ -44,6 +52,9 @@
 
     /** Bytes of a file at a rate, or null if there is none. */
     byte[] bytes(String title, int rung, String file, double rateKb) throws IOException {
+        if (!holds(title)) {
+            return null;
+        }
         if (settings.content() != null) {
             Path path = settings.content().resolve(title).resolve(Integer.toString(rung)).resolve(file).normalize();
             return path.startsWith(settings.content()) && Files.isRegularFile(path) ? Files.readAllBytes(path) : null;
--- a/standin/src/main/java/calicovale/standin/MediaBox.java
+++ b/standin/src/main/java/calicovale/standin/MediaBox.java
@@ -39,6 +39,8 @@
 public final class MediaBox {
     private static final Logger LOG = LoggerFactory.getLogger(MediaBox.class);
     private static final double PACE_MS = 40;
+    /** Between two tellings of the segments that were delivered whole. */
+    private static final double SERVED_MS = 250;
     /** Most times its own rate that one transfer gets while the link has room. */
     private static final double BURST = 3;
     private static final int MOST_PENDING = 1 << 18;
@@ -169,6 +171,7 @@
 
     private static final class Transfer {
         final Held held;
+        final String path;
         final BodyStream out;
         final byte[] content;
         final boolean last;
@@ -176,8 +179,9 @@
         int sent;
         double credit;
 
-        Transfer(Held held, BodyStream out, byte[] content, boolean last, double rateKb) {
+        Transfer(Held held, String path, BodyStream out, byte[] content, boolean last, double rateKb) {
             this.held = held;
+            this.path = path;
             this.out = out;
             this.content = content;
             this.last = last;
@@ -195,6 +199,8 @@
         private final Set<Transfer> transfers = new LinkedHashSet<>();
         private final ArrayDeque<Report> reports = new ArrayDeque<>();
         private final List<Runnable> hung = new ArrayList<>();
+        /** By manager and session the last segment delivered whole that was not told yet. */
+        private final Map<String, Map<String, String>> served = new LinkedHashMap<>();
 
         Process(double startedMs) {
             name = "box:" + settings.id();
@@ -215,6 +221,7 @@
         void begin() {
             every(PACE_MS, this::pace);
             every(settings.beatMs(), this::beat);
+            every(SERVED_MS, this::tellServed);
             every(200, this::expire);
             every(settings.reportEveryMs(), this::refresh);
             every(settings.noteEveryMs(), this::tell);
@@ -320,6 +327,10 @@
                 x.problem(409, load(), "Conflict", "this attempt is known", "");
                 return;
             }
+            if (!lectures.holds(n.path("title").asText())) {
+                x.problem(404, load(), "Not Found", "no such title here", "");
+                return;
+            }
             if (model.full()) {
                 x.problem(429, load(), "Too Many Requests", "full", "");
                 return;
@@ -450,7 +461,7 @@
 
         private void segment(Exchange x, String[] parts) {
             // TOKEN/RUNG/FILE of the lecture, or TOKEN/p/PIECE/RUNG/FILE
-            boolean piece = parts.length == 5 && parts[1].equals("p") && settings.pieces().containsKey(parts[2]);
+            boolean piece = parts.length == 5 && parts[1].equals("p");
             Held held = parts.length == 3 || piece ? model.byToken(parts[0]) : null;
             if (held == null || !held.confirmed) {
                 // the token is of another process, or its session is over
@@ -471,7 +482,7 @@
                 held.askedAt = now();
                 held.sending++;
                 BodyStream out = x.stream(200, load().add("Content-Type", "video/mp4"), content.length);
-                Transfer t = new Transfer(held, out, content, !piece && lectures.last(title, file), held.ladderKb[rung]);
+                Transfer t = new Transfer(held, String.join("/", Arrays.asList(parts).subList(1, parts.length)), out, content, !piece && lectures.last(title, file), held.ladderKb[rung]);
                 transfers.add(t);
                 x.onGone(() -> {
                     if (transfers.remove(t)) {
@@ -515,6 +526,7 @@
                     t.held.sending--;
                     t.held.askedAt = now();
                     t.out.end();
+                    served.computeIfAbsent(t.held.manager, m -> new LinkedHashMap<>()).put(t.held.key, t.path);
                     if (t.last && model.get(t.held.key) == t.held) {
                         end(t.held, "done");
                     }
@@ -532,6 +544,22 @@
             }
         }
 
+        private void tellServed() {
+            if (faults.mute || faults.hang) {
+                return;
+            }
+            served.forEach((manager, last) -> {
+                BodyStream out = streams.get(manager);
+                if (out != null) {
+                    ObjectNode n = Documents.MAPPER.createObjectNode();
+                    ObjectNode of = n.putObject("last");
+                    last.forEach(of::put);
+                    out.write(EventStream.event("served", n.toString()));
+                }
+            });
+            served.clear();
+        }
+
         private void expire() {
             if (!faults.hang) {
                 model.due(now()).forEach(this::end);
--- a/stitch/src/main/java/calicovale/stitch/SessionLedger.java
+++ b/stitch/src/main/java/calicovale/stitch/SessionLedger.java
@@ -30,7 +30,7 @@
      * @param number discontinuity sequence numbers up to it may have been given
      * @param segment the lecture's segment that played at {@code atMs}
      * @param targetS EXT-X-TARGETDURATION as given
-     * @param dateMs dates of the programme up to it may have been given
+     * @param dateMs the programme's date that the playlist had reached at {@code atMs}
      * @param atMs common time
      */
     public record Entry(String token, String sessionClass, String tenant, String viewer, String title, int top, double waitMs,
