--- a/front/src/main/java/calicovale/front/player/SessionManager.java
+++ b/front/src/main/java/calicovale/front/player/SessionManager.java
@@ -69,6 +69,8 @@
     private final SourceCache sources;
     private final ChangeBook changes;
     private final Programme programme;
+    /** Every playlist is written into it: the loop owns it, and one is written at a time. */
+    private final StringBuilder text = new StringBuilder(4096);
     private final SessionKeeper keeper;
     private final Map<String, Viewing> byToken = new HashMap<>();
     private final Map<String, Viewing> byId = new HashMap<>();
@@ -126,7 +128,6 @@
         boolean reads = method.equals("GET") || method.equals("HEAD");
         String title = between(path, "/v1/lectures/", "/index.m3u8");
         String token = between(path, "/s/", "/media.m3u8");
-        String piece = path.startsWith("/s/") ? path.substring(3) : "";
         if (title != null) {
             if (method.equals("GET")) {
                 first(x, title);
@@ -139,8 +140,8 @@
             } else {
                 x.problem(405, new Headers().add("Allow", "GET, HEAD"), "Method Not Allowed", null, "");
             }
-        } else if (piece.matches("[0-9a-f]+/pieces/[A-Za-z0-9._-]+\\.m3u8") && reads) {
-            piece(x, piece.substring(0, piece.indexOf('/')), piece.substring(piece.lastIndexOf('/') + 1, piece.length() - 5));
+        } else if (path.matches("/s/[0-9a-f]+/pieces/[A-Za-z0-9._-]+\\.m3u8") && reads) {
+            piece(x, path.substring(3, path.indexOf('/', 3)), path.substring(path.lastIndexOf('/') + 1, path.length() - 5));
         } else if (path.equals("/v1/status") && reads) {
             status(x);
         } else {
@@ -453,7 +454,9 @@
         if (cookie != null) {
             headers.add("Set-Cookie", cookie);
         }
-        x.respond(200, headers, v.playlist.render(rung -> sources.get(v.title, rung)).getBytes(StandardCharsets.UTF_8));
+        text.setLength(0);
+        v.playlist.render(rung -> sources.get(v.title, rung), text);
+        x.respond(200, headers, text.toString().getBytes(StandardCharsets.UTF_8));
     }
 
     /** Answers with the playlist of a piece that a session's player plays as an interstitial. */
--- a/front/src/main/java/calicovale/front/playlist/Piece.java
+++ b/front/src/main/java/calicovale/front/playlist/Piece.java
@@ -1,7 +1,6 @@
 package calicovale.front.playlist;
 
 import calicovale.protocols.hls.Attributes;
-import java.time.Instant;
 import java.util.Locale;
 
 /**
@@ -20,6 +19,8 @@
     /** The answer of a {@link Stitcher} that can't be given yet. */
     public static final Piece WAIT = new Piece("", 0, "", null, 0, 0, null);
 
+    private static final long DAY_MS = 86_400_000;
+
     /** Says what is put before a segment of the lecture. */
     public interface Stitcher {
         /** Nothing is put in. */
@@ -99,8 +100,35 @@
         return out.append("#EXT-X-ENDLIST\n").toString();
     }
 
-    static String date(double ms) {
-        return Instant.ofEpochMilli(Math.round(ms)).toString();
+    private static String date(double ms) {
+        StringBuilder out = new StringBuilder(24);
+        date(out, ms);
+        return out.toString();
+    }
+
+    /** Appends a date (RFC 3339, UTC, whole ms). Written here since every reload has one: Hinnant's civil_from_days. */
+    static void date(StringBuilder out, double ms) {
+        long all = Math.round(ms);
+        long days = Math.floorDiv(all, DAY_MS) + 719_468;
+        long rest = Math.floorMod(all, DAY_MS);
+        long era = Math.floorDiv(days, 146_097L);
+        long ofEra = days - era * 146_097;
+        long yearOfEra = (ofEra - ofEra / 1460 + ofEra / 36_524 - ofEra / 146_096) / 365;
+        long dayOfYear = ofEra - (365 * yearOfEra + yearOfEra / 4 - yearOfEra / 100);
+        long shifted = (5 * dayOfYear + 2) / 153;
+        long month = shifted < 10 ? shifted + 3 : shifted - 9;
+        out.append(yearOfEra + era * 400 + (month <= 2 ? 1 : 0)).append('-');
+        two(out, month).append('-');
+        two(out, dayOfYear - (153 * shifted + 2) / 5 + 1).append('T');
+        two(out, rest / 3_600_000).append(':');
+        two(out, rest / 60_000 % 60).append(':');
+        two(out, rest / 1000 % 60).append('.');
+        out.append((char) ('0' + rest % 1000 / 100));
+        two(out, rest % 100).append('Z');
+    }
+
+    private static StringBuilder two(StringBuilder out, long value) {
+        return out.append((char) ('0' + value / 10)).append((char) ('0' + value % 10));
     }
 
     private static String seconds(double s) {
--- a/front/src/main/java/calicovale/front/playlist/SessionPlaylist.java
+++ b/front/src/main/java/calicovale/front/playlist/SessionPlaylist.java
@@ -431,11 +431,17 @@
 
     /** The playlist's text. */
     public String render(Sources sources) {
+        StringBuilder out = new StringBuilder(1024);
+        render(sources, out);
+        return out.toString();
+    }
+
+    /** Appends the playlist's text. */
+    public void render(Sources sources, StringBuilder out) {
         long first = firstShown();
         long sequence = first;
         int mark = 0;
         Source.State state = new Source.State();
-        StringBuilder out = new StringBuilder(2048);
         Run begins = runs.get(0);
         // the tag before the window's first segment counts it itself
         boolean marked = begins.number() > 0 && begins.firstSequence() == first;
@@ -461,7 +467,9 @@
                 }
                 if (sequence == first || sequence == run.firstSequence()) {
                     double at = run.dateMs() + 1000 * (source.startS(n) - source.startS(run.firstSegment()));
-                    out.append("#EXT-X-PROGRAM-DATE-TIME:").append(Piece.date(at)).append('\n');
+                    out.append("#EXT-X-PROGRAM-DATE-TIME:");
+                    Piece.date(out, at);
+                    out.append('\n');
                     if (run.piece() != null) {
                         double from = source.startS(run.firstSegment());
                         double listed = source.startS(run.firstSegment() + (int) (end - run.firstSequence())) - from;
@@ -479,6 +487,5 @@
         if (lecture != null && complete(lecture)) {
             out.append("#EXT-X-ENDLIST\n");
         }
-        return out.toString();
     }
 }
--- a/front/src/main/java/calicovale/front/playlist/Source.java
+++ b/front/src/main/java/calicovale/front/playlist/Source.java
@@ -17,8 +17,11 @@
     private static final List<String> REWRITTEN = List.of("EXT-X-MAP", "EXT-X-KEY", "EXT-X-BYTERANGE", "EXT-X-DISCONTINUITY",
             "EXT-X-PROGRAM-DATE-TIME", "EXT-X-DATERANGE", "EXTINF");
 
-    /** What is written of one segment: the lines that are its own, keys and map with URIs as the box wrote them. */
-    private record Segment(String lines, String uri, List<Attributes> keys, Attributes map, boolean broken) {
+    /**
+     * What is written of one segment: the lines that are its own, keys and map with URIs as the box wrote them; {@code below}:
+     * its URI only needs the base before it.
+     */
+    private record Segment(String lines, String uri, boolean below, List<Attributes> keys, Attributes map, boolean broken) {
     }
 
     private final List<Segment> segments;
@@ -74,7 +77,8 @@
             }
             lines.append("#EXTINF:").append(entry.value("EXTINF")).append('\n');
             keys = told.isEmpty() ? keys : "NONE".equals(told.get(0).get("METHOD")) ? List.of() : List.copyOf(told);
-            segments.add(new Segment(lines.toString(), entry.uri(), explicit(keys, first + i), map, broken));
+            segments.add(new Segment(lines.toString(), entry.uri(), entry.uri().indexOf(':') < 0 && !entry.uri().startsWith("/"),
+                    explicit(keys, first + i), map, broken));
             starts[i + 1] = starts[i] + entry.duration();
             longest = Math.max(longest, entry.duration());
         }
@@ -129,10 +133,14 @@
     static final class State {
         private String keys = "";
         private String map;
+        /** The map and base from which {@code map} was made: most segments share them. */
+        private Attributes mapOf;
+        private String base;
 
         /** A discontinuity: the initialization section is stated anew. */
         void discontinuity() {
             map = null;
+            mapOf = null;
         }
     }
 
@@ -150,14 +158,21 @@
                 state.keys = now;
             }
         }
-        if (s.map() != null) {
+        if (s.map() != null && (s.map() != state.mapOf || !base.equals(state.base))) {
             String map = below(s.map(), base).toString();
             if (!map.equals(state.map)) {
                 out.append("#EXT-X-MAP:").append(map).append('\n');
                 state.map = map;
             }
+            state.mapOf = s.map();
+            state.base = base;
+        }
+        out.append(s.lines());
+        if (s.below()) {
+            out.append(base).append(s.uri()).append('\n');
+        } else {
+            out.append(resolve(base, s.uri())).append('\n');
         }
-        out.append(s.lines()).append(resolve(base, s.uri())).append('\n');
     }
 
     private static Attributes below(Attributes of, String base) {
--- a/front/src/test/java/calicovale/front/SessionPlaylistTest.java
+++ b/front/src/test/java/calicovale/front/SessionPlaylistTest.java
@@ -110,6 +110,39 @@
         assertEquals("http://b/3/2.m4s", after.stream().filter(u -> u.startsWith("http://b/")).findFirst().orElseThrow());
     }
 
+    @Test
+    void datesAreThoseOfTheCalendar() throws HlsException {
+        Source source = source(3);
+        for (double ms = 0; ms < 2.5e14; ms += 86_399_777.0 * 997) {
+            SessionPlaylist p = new SessionPlaylist(SHAPE, 0, ms);
+            p.extend(source, 0, "http://a/", 0);
+            String date = Playlist.parse(p.render(r -> source)).entries().get(0).value("EXT-X-PROGRAM-DATE-TIME");
+            assertEquals(java.time.Instant.ofEpochMilli(Math.round(ms)), java.time.Instant.parse(date));
+        }
+    }
+
+    @Test
+    void keysRangesAndInitializationSectionsHoldWhereverAWindowBegins() throws HlsException {
+        Source source = Source.parse("#EXTM3U\n#EXT-X-TARGETDURATION:2\n#EXT-X-MEDIA-SEQUENCE:9\n"
+                + "#EXT-X-MAP:URI=\"/i.mp4\",BYTERANGE=\"9@0\"\n#EXT-X-KEY:METHOD=AES-128,URI=\"k\"\n#EXTINF:2,\n#EXT-X-BYTERANGE:5@0\nf\n"
+                + "#EXTINF:2,\n#EXT-X-BYTERANGE:6\nf\n#EXT-X-KEY:METHOD=NONE\n#EXTINF:2,\n#EXT-X-BYTERANGE:7\nf\n"
+                + "#EXT-X-DISCONTINUITY\n#EXTINF:2,\nhttps://other/x\n");
+        SessionPlaylist p = new SessionPlaylist(new SessionPlaylist.Shape(1, 0, 0), 0, T0);
+        p.extend(source, 0, "http://a/b/", 2000);
+        Playlist second = Playlist.parse(p.render(r -> source));
+        Playlist.Entry first = second.entries().get(0);
+        assertEquals("METHOD=AES-128,URI=\"http://a/b/k\",IV=0x0000000000000000000000000000000A", first.value("EXT-X-KEY"));
+        assertEquals("URI=\"http://a/i.mp4\",BYTERANGE=\"9@0\"", first.value("EXT-X-MAP"));
+        assertEquals("6@5", first.value("EXT-X-BYTERANGE"));
+        assertEquals("METHOD=NONE", second.entries().get(1).value("EXT-X-KEY"));
+        assertEquals("7@11", second.entries().get(1).value("EXT-X-BYTERANGE"));
+        p.extend(source, 0, "http://a/b/", 60_000);
+        Playlist.Entry last = Playlist.parse(p.render(r -> source)).entries().get(1);
+        assertTrue(last.uri().equals("https://other/x") && last.has("EXT-X-DISCONTINUITY") && last.has("EXT-X-MAP"));
+        org.junit.jupiter.api.Assertions.assertThrows(HlsException.class, () -> Source.parse(
+                "#EXTM3U\n#EXT-X-TARGETDURATION:2\n#EXTINF:2,\n#EXT-X-BYTERANGE:7\nf\n"));
+    }
+
     /** What a player was given is never altered, over any course of rungs, moves and times. */
     @Test
     void whatWasGivenIsNeverAltered() throws HlsException {
--- a/rehearsal/src/main/java/calicovale/rehearsal/bench/Bench.java
+++ b/rehearsal/src/main/java/calicovale/rehearsal/bench/Bench.java
@@ -28,6 +28,8 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -39,7 +41,7 @@
 /** Owns the measurements by name; each gives lines for people and figures for programs. */
 public final class Bench {
     /** All measurements, in the order in which they run. */
-    public static final List<String> NAMES = List.of("reloads", "setups", "decisions", "sessions");
+    public static final List<String> NAMES = List.of("reloads", "setups", "decisions", "sessions", "stitch");
     private static final int ROUNDS = 5;
     private static final long ROUND_MS = 2000;
     private static final int CLIENT_THREADS = 3;
@@ -56,6 +58,7 @@
             case "setups" -> setUps();
             case "decisions" -> decisions();
             case "sessions" -> sessions();
+            case "stitch" -> stitch();
             default -> throw new IllegalArgumentException("no measurement " + name + ", one of " + NAMES);
         }
     }
@@ -76,6 +79,11 @@
     }
 
     private static FrontSettings settings(InetSocketAddress directory, int boxes, int sessions) throws InvalidDocumentException {
+        return settings(directory, boxes, sessions, "");
+    }
+
+    private static FrontSettings settings(InetSocketAddress directory, int boxes, int sessions, String more)
+            throws InvalidDocumentException {
         double streams = Math.max(200, 4.0 * sessions / boxes);
         // a link that carries the sessions at the middle rate with room to spare
         double link = streams * 30;
@@ -89,8 +97,18 @@
                  "media": {"rungKb": [12, 20, 30, 45, 70, 110], "rungWorth": [0.25, 0.45, 0.6, 0.75, 0.9, 1], "cells": 8,
                    "racks": 8, "linkKbPerWeight": %f, "uplinkKb": %f, "kindStreams": [%f], "noteDelayMs": 700,
                    "noteEveryMs": 3000},
-                 "bounds": {"sessions": 100000, "pending": 100000, "connections": 100000, "perBox": 1024}}
-                """.formatted(directory.getPort(), link, link * boxes, streams));
+                 "bounds": {"sessions": 100000, "pending": 100000, "connections": 100000, "perBox": 1024} %s}
+                """.formatted(directory.getPort(), link, link * boxes, streams, more));
+    }
+
+    private void stitch() throws Exception {
+        String operators = ", \"operators\": {\"host\": \"127.0.0.1\", \"port\": 0}";
+        Path folder = Files.createTempDirectory("calicovale-bench");
+        String kept = operators + ", \"sessionsFolder\": \"" + folder + "\"";
+        StitchBench bench = new StitchBench((what, value) -> tell("stitch", what, value));
+        bench.reloads((directory, boxes, sessions) -> settings(directory, boxes, sessions, operators));
+        bench.all((directory, boxes, sessions) -> settings(directory, boxes, sessions, operators), "without a ledger");
+        bench.all((directory, boxes, sessions) -> settings(directory, boxes, sessions, kept), "with a ledger");
     }
 
     private static HttpResponse<String> get(InetSocketAddress at, String path) throws IOException, InterruptedException {
--- a/rehearsal/src/main/java/calicovale/rehearsal/bench/InstantBoxes.java
+++ b/rehearsal/src/main/java/calicovale/rehearsal/bench/InstantBoxes.java
@@ -21,15 +21,13 @@
     private final EventLoop directoryLoop;
     private final InetSocketAddress directory;
     private final String source;
+    private final String piece;
     private int tokens;
 
     InstantBoxes(int count, int segments) {
         Clock clock = Clock.system();
-        StringBuilder text = new StringBuilder("#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXT-X-MAP:URI=\"init.mp4\"\n");
-        for (int i = 0; i < segments; i++) {
-            text.append("#EXTINF:4.0,\n").append(i).append(".m4s\n");
-        }
-        source = text + "#EXT-X-ENDLIST\n";
+        source = source(segments);
+        piece = source(3);
         for (int i = 0; i < 2; i++) {
             loops.add(new EventLoop("instant-" + i, clock).start());
         }
@@ -49,6 +47,14 @@
         directory = directoryLoop.call(list::start);
     }
 
+    private static String source(int segments) {
+        StringBuilder text = new StringBuilder("#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXT-X-MAP:URI=\"init.mp4\"\n");
+        for (int i = 0; i < segments; i++) {
+            text.append("#EXTINF:4.0,\n").append(i).append(".m4s\n");
+        }
+        return text + "#EXT-X-ENDLIST\n";
+    }
+
     InetSocketAddress directory() {
         return directory;
     }
@@ -65,7 +71,7 @@
                     // no hello: these boxes know of no sessions and must not deny any
                     beat(loop, out);
                 } else {
-                    x.respond(200, "application/vnd.apple.mpegurl", source);
+                    x.respond(200, "application/vnd.apple.mpegurl", path.contains("/piece/") ? piece : source);
                 }
             }
         }
--- a/rehearsal/src/test/java/calicovale/rehearsal/StitchTest.java
+++ b/rehearsal/src/test/java/calicovale/rehearsal/StitchTest.java
@@ -77,7 +77,9 @@
     @Test
     void aCourseIsNotShownAPieceUnderItsFloor() throws Exception {
         try (Stage stage = stage()) {
-            assertEquals(201, tell(stage, "POST", "/v1/changes", change("storm-1", 0)).statusCode());
+            // only the bottom rendition fits its link, and that is under its floor
+            told(stage, 0, change("storm-1", 0).replace("\"durationsS\":[0.5,0.5,0.5]}]}",
+                    "\"durationsS\":[0.5,0.5,0.5]},{\"rung\":1,\"rateKb\":900,\"durationsS\":[0.5,0.5,0.5]}]}"));
             String media = Stage.media(stage.ask("contractor-course", "v1"));
             Stage.await("the change waits", () -> {
                 try {
