Pages of other origins may read front and boxes where settings name them; segments in parts

Need: a browser with its security on plays nothing: no answer of front or box carried CORS headers, and a box is always another origin. A handler that failed left its request without an answer.

Change: CrossOrigin in the server itself, so that answers, refusals, streams, the parser's errors and failed handlers all carry it; preflights; `crossOrigin` in the front's settings, `origins` in the boxes'; ByteRange (RFC 9110) with 206 and 416. A failed handler is answered with 500 once and counted.

--- a/front/src/main/java/calicovale/front/FrontProcess.java
+++ b/front/src/main/java/calicovale/front/FrontProcess.java
@@ -57,13 +57,15 @@
         book = new ChangeBook(settings.bounds().changes(), settings.bounds().shown());
         ledger = ledger();
         manager = new SessionManager(loop, settings, common, random, client, book, ledger, counters, incarnation);
-        server = new HttpServer(loop, name, players, manager::handle);
+        server = new HttpServer(loop, name, players, manager::handle).crossOrigin(settings.crossOrigin());
         manager.wireCounts(() -> {
             Map<String, Long> counts = new LinkedHashMap<>();
             counts.put("player-connections", (long) server.open());
             counts.put("player-connections-refused", server.counters().connectionsRefused);
             counts.put("player-messages-refused", server.counters().refused);
             counts.put("player-connections-timed-out", server.counters().timedOut);
+            counts.put("player-preflights", server.counters().preflights);
+            counts.put("player-handler-errors", server.counters().handlerErrors);
             counts.put("box-messages-malformed", client.counters().refused);
             counts.put("box-pool-overflows", client.counters().poolOverflows);
             counts.put("pending-bytes-overflows", loop.counters().pendingOverflows);
--- a/front/src/main/java/calicovale/front/settings/FrontSettings.java
+++ b/front/src/main/java/calicovale/front/settings/FrontSettings.java
@@ -10,6 +10,7 @@
 import calicovale.ControllerApi.SessionClass;
 import calicovale.ControllerApi.Tenant;
 import calicovale.front.playlist.SessionPlaylist;
+import calicovale.protocols.http.CrossOrigin;
 import calicovale.protocols.http.HttpLimits;
 import calicovale.protocols.json.Documents;
 import calicovale.protocols.json.InvalidDocumentException;
@@ -22,9 +23,11 @@
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Owns one session manager's settings, checked whole.
@@ -48,13 +51,14 @@
  * @param changeKeys keys of which one must have signed a document; without any all are taken
  * @param sessionsFolder folder of the sessions' ledger, or null: sessions end with the process
  * @param viewerKey key of the cookies by which viewers carry what they were shown between managers, or null
+ * @param crossOrigin the pages that may read what players are answered
  * @param interstitials whether pieces go to players as interstitials
  */
 public record FrontSettings(ControllerApi.Settings controller, long seed, List<String> classNames,
         List<String> tenantNames, Map<String, Holders> titles, InetSocketAddress listen, InetSocketAddress directory,
         Path savedList, Bounds bounds, Times times, SessionPlaylist.Shape playlist, HttpLimits http, LoopLimits loop,
         InetSocketAddress operators, Path changesFolder, Path changesWatch, ChangeKeys changeKeys, Path sessionsFolder,
-        byte[] viewerKey, Interstitials interstitials) {
+        byte[] viewerKey, CrossOrigin crossOrigin, Interstitials interstitials) {
 
     /** Whether pieces go to players as HLS interstitials: to none, to those that ask for it, or to all. */
     public enum Interstitials { NEVER, ASKED, ALWAYS }
@@ -178,6 +182,13 @@
         } catch (IllegalArgumentException e) {
             faults.add(name + ": /changeKeys/" + e.getMessage());
         }
+        CrossOrigin crossOrigin = CrossOrigin.NOBODY;
+        try {
+            crossOrigin = crossOrigin(n.path("crossOrigin"));
+        } catch (IllegalArgumentException e) {
+            faults.add(name + ": /crossOrigin/origins: named origins are expected with /crossOrigin/credentials or beside others,"
+                    + " " + e.getMessage());
+        }
         if (n.has("changesWatch") && !n.has("operators")) {
             faults.add(name + ": /operators: an address is expected with /changesWatch");
         }
@@ -221,13 +232,26 @@
                 n.has("operators") ? address(n.get("operators")) : null,
                 folder(n, "changesFolder"), folder(n, "changesWatch"), changeKeys, folder(n, "sessionsFolder"),
                 n.has("viewerKey") ? HexFormat.of().parseHex(n.get("viewerKey").asText()) : null,
-                Interstitials.valueOf(upper(n, "interstitials", "never")));
+                crossOrigin, Interstitials.valueOf(upper(n, "interstitials", "never")));
     }
 
     private static Path folder(JsonNode n, String key) {
         return n.has(key) ? Path.of(n.get(key).asText()) : null;
     }
 
+    /** Headers of answers that a player's page reads. */
+    private static final List<String> EXPOSED = List.of("Calicovale-Session", "Retry-After", "Date");
+    /** Headers that a player's page sends: CMCD (CTA-5004), ranges, and what fetch adds to reload. */
+    private static final List<String> REQUESTED = List.of("CMCD-Object", "CMCD-Request", "CMCD-Session", "CMCD-Status", "Range",
+            "Cache-Control");
+
+    private static CrossOrigin crossOrigin(JsonNode n) {
+        Set<String> origins = new LinkedHashSet<>();
+        n.path("origins").forEach(origin -> origins.add(origin.asText()));
+        return new CrossOrigin(origins, n.path("credentials").asBoolean(), n.path("maxAgeS").asInt(600), EXPOSED, REQUESTED,
+                List.of("GET", "HEAD"));
+    }
+
     private static HttpLimits http(JsonNode n, int connections) {
         HttpLimits d = HttpLimits.DEFAULT;
         return new HttpLimits(n.path("lineBytes").asInt(d.lineBytes()), n.path("headerCount").asInt(d.headerCount()),
--- a/front/src/test/java/calicovale/front/FrontSettingsTest.java
+++ b/front/src/test/java/calicovale/front/FrontSettingsTest.java
@@ -54,6 +54,16 @@
         }
     }
 
+    @Test
+    void settingsThatContradictEachOtherAreToldTogether() {
+        List<String> all = faults(GOOD.replaceFirst("\\{", "{\"changesWatch\": \"w\", \"changeKeys\": {\"ops\": \"" + "_".repeat(43)
+                + "\"}, \"crossOrigin\": {\"origins\": [\"*\"], \"credentials\": true},"));
+        for (String place : List.of("/operators", "/crossOrigin/origins")) {
+            assertTrue(all.stream().anyMatch(f -> f.startsWith("f: " + place)), place + " in " + all);
+        }
+        assertTrue(faults(GOOD.replaceFirst("\\{", "{\"crossOrigin\": {\"origins\": [\"page\", \"*\"]},")).size() >= 2);
+    }
+
     @Test
     void whatIsNoJsonIsToldWithItsLine() {
         assertTrue(faults("{\n\"a\": }").get(0).startsWith("f: line 2"));
--- a/protocols/src/main/java/calicovale/protocols/http/HttpCounters.java
+++ b/protocols/src/main/java/calicovale/protocols/http/HttpCounters.java
@@ -14,6 +14,10 @@
     public long connectionsRefused;
     /** Connections closed since they were idle or slow. */
     public long timedOut;
+    /** Preflights of pages of other origins. */
+    public long preflights;
+    /** Exchanges whose handler failed: answered with 500 where no answer had begun. */
+    public long handlerErrors;
     /** Calls refused at the bound on connections to one origin. */
     public long poolOverflows;
 }
--- a/protocols/src/main/java/calicovale/protocols/http/HttpServer.java
+++ b/protocols/src/main/java/calicovale/protocols/http/HttpServer.java
@@ -35,6 +35,7 @@
     private final Consumer<Exchange> handler;
     private final HttpCounters counters = new HttpCounters();
     private final Set<Peer> peers = new LinkedHashSet<>();
+    private CrossOrigin crossOrigin = CrossOrigin.NOBODY;
     private EventLoop.Listener listener;
     private boolean draining;
     private long dateSecond = -1;
@@ -48,6 +49,12 @@
         this.handler = handler;
     }
 
+    /** Lets pages of other origins read what is answered; to be called before {@link #listen}. */
+    public HttpServer crossOrigin(CrossOrigin permitted) {
+        crossOrigin = permitted;
+        return this;
+    }
+
     /** Listens; to be called on the loop. */
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
         listener = loop.listen(address, name, c -> new Peer(c));
@@ -178,6 +185,7 @@
                 while (current == null && bytes.hasRemaining() && !connection.isClosed() && !closeAfter) {
                     if (!parser.inMessage()) {
                         since = loop.clock().millis();
+                        head = null;
                     }
                     if (!parser.parse(bytes)) {
                         break;
@@ -187,11 +195,7 @@
                     current = exchange;
                     counters.requests++;
                     closeAfter = !head.keepsAlive() || draining;
-                    if (!METHODS.contains(head.method())) {
-                        exchange.problem(501, "Not Implemented", "method " + head.method());
-                    } else {
-                        handler.accept(exchange);
-                    }
+                    handle(exchange);
                 }
             } catch (HttpException e) {
                 bytes.position(bytes.limit());
@@ -205,14 +209,37 @@
             }
         }
 
+        private void handle(Exchange exchange) {
+            if (!METHODS.contains(exchange.head().method())) {
+                exchange.problem(501, "Not Implemented", "method " + exchange.head().method());
+                return;
+            }
+            if (crossOrigin.preflight(exchange.head())) {
+                counters.preflights++;
+                exchange.respond(204, crossOrigin.preflightHeaders(exchange.head()), NONE);
+                return;
+            }
+            try {
+                handler.accept(exchange);
+            } catch (RuntimeException e) {
+                // a fault of ours: the peer hears of it once, and nobody else does
+                counters.handlerErrors++;
+                LOG.error("{}: the handler of {} {} failed", name, exchange.head().method(), exchange.head().path(), e);
+                if (!exchange.answered()) {
+                    exchange.problem(500, "Internal Server Error", "the request could not be handled");
+                }
+            }
+        }
+
         private void refuse(int status, String why) {
             counters.refused++;
             closeAfter = true;
             String json = "{\"title\":" + Exchange.quote(HttpWriter.reason(status)) + ",\"status\":" + status
                     + ",\"detail\":" + Exchange.quote(why) + "}";
             byte[] content = json.getBytes(java.nio.charset.StandardCharsets.UTF_8);
-            connection.write(HttpWriter.response(status, date(),
-                    new Headers().add("Content-Type", "application/problem+json"), content.length, true, content));
+            Headers headers = new Headers().add("Content-Type", "application/problem+json");
+            crossOrigin.addTo(headers, head);
+            connection.write(HttpWriter.response(status, date(), headers, content.length, true, content));
             lingerClose();
         }
 
@@ -268,6 +295,7 @@
             if (connection.isClosed()) {
                 return false;
             }
+            crossOrigin.addTo(headers, current.head());
             boolean ok = connection.write(HttpWriter.response(status, date(), headers, content.length, closeAfter,
                     headOnly ? NONE : content));
             counters.responses++;
@@ -282,6 +310,7 @@
             } else if (length < 0) {
                 closeAfter = true;
             }
+            crossOrigin.addTo(headers, exchange.head());
             stream = new BodyStream(this, exchange, chunked);
             connection.write(HttpWriter.response(status, date(), headers, length, closeAfter, NONE));
             return stream;
--- a/rehearsal/src/main/java/calicovale/rehearsal/day/Day.java
+++ b/rehearsal/src/main/java/calicovale/rehearsal/day/Day.java
@@ -1,6 +1,7 @@
 package calicovale.rehearsal.day;
 
 import calicovale.front.settings.FrontSettings;
+import calicovale.protocols.http.CrossOrigin;
 import calicovale.protocols.json.Documents;
 import calicovale.protocols.json.InvalidDocumentException;
 import calicovale.standin.BoxSettings;
@@ -35,7 +36,7 @@
     /** What boxes are like. */
     public record Boxes(int count, double streams, double linkKb, double linkSpread, double setUpMs, double segmentS,
             int segments, double idleMs, double graceMs, boolean uplinkNotes, Map<String, Integer> pieces, List<Integer> piecesOn,
-            String content) {
+            CrossOrigin crossOrigin, String content) {
     }
 
     /** Who comes. */
@@ -126,7 +127,7 @@
         Boxes boxes = new Boxes(count, b.get("streams").asDouble(), b.get("linkKb").asDouble(),
                 b.path("linkSpread").asDouble(), b.path("setUpMs").asDouble(20), b.path("segmentS").asDouble(2),
                 b.path("segments").asInt(20), b.path("idleMs").asDouble(8000), b.path("graceMs").asDouble(4000),
-                b.path("uplinkNotes").asBoolean(), BoxSettings.pieces(b.path("pieces")), numbers(b.path("piecesOn")),
+                b.path("uplinkNotes").asBoolean(), BoxSettings.pieces(b.path("pieces")), numbers(b.path("piecesOn")), BoxSettings.crossOrigin(b.path("origins")),
                 b.path("content").asText(null));
         JsonNode v = n.get("viewers");
         List<Kind> kinds = new ArrayList<>();
--- a/rehearsal/src/main/java/calicovale/rehearsal/run/Rehearsal.java
+++ b/rehearsal/src/main/java/calicovale/rehearsal/run/Rehearsal.java
@@ -144,7 +144,7 @@
                 rules.warmAfterMs(), rules.tipMultiple(), rules.tipMs(), b.setUpMs(), 300,
                 Math.max(200, media.noteEveryMs()), media.noteDelayMs(), b.uplinkNotes(), b.segmentS(), b.segments(),
                 b.idleMs(), b.graceMs(), 500, b.piecesOn().isEmpty() || b.piecesOn().contains(i) ? b.pieces() : Map.of(),
-                b.piecesOn().isEmpty() || b.piecesOn().contains(i) ? Set.of() : b.pieces().keySet(),
+                b.piecesOn().isEmpty() || b.piecesOn().contains(i) ? Set.of() : b.pieces().keySet(), b.crossOrigin(),
                 b.content() == null ? null : Path.of(b.content()));
         int rack = i % racks.size();
         MediaBox box = new MediaBox(loopOf(i), settings, racks.get(rack), random.split());
--- a/rehearsal/src/test/java/calicovale/rehearsal/HardCasesTest.java
+++ b/rehearsal/src/test/java/calicovale/rehearsal/HardCasesTest.java
@@ -15,6 +15,7 @@
 import java.net.URI;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.net.http.HttpRequest;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -360,4 +361,29 @@
             stage.end();
         }
     }
+
+    @Test
+    void aPageOfAnotherOriginMayReadRefusalsAndSegments() throws Exception {
+        try (Stage stage = new Stage(state, "/service/crossOrigin", "{\"origins\": [\"https://page\"]}",
+                "/boxes/origins", "[\"https://page\"]", "/service/bounds", "{\"sessions\": 1}")) {
+            HttpResponse<String> first = stage.askAt(0, "talk", "v1", "Origin", "https://page");
+            HttpResponse<String> refused = stage.askAt(0, "talk", "v2", "Origin", "https://page");
+            HttpResponse<String> wrong = stage.askAt(0, "none", "v3", "Origin", "https://page");
+            assertEquals(List.of(200, 503, 400), List.of(first.statusCode(), refused.statusCode(), wrong.statusCode()));
+            String segment = Stage.segments(stage.get(stage.at(Stage.media(first))).body()).get(0);
+            HttpResponse<String> played = stage.client.send(HttpRequest.newBuilder(URI.create(segment))
+                    .header("Origin", "https://page").build(), HttpResponse.BodyHandlers.ofString());
+            assertEquals(200, played.statusCode());
+            for (HttpResponse<String> answer : List.of(first, refused, wrong, played)) {
+                assertEquals("https://page", answer.headers().firstValue("Access-Control-Allow-Origin").orElse(""));
+            }
+            assertTrue(refused.headers().firstValue("Access-Control-Expose-Headers").orElse("").contains("Retry-After"));
+            assertEquals("", stage.askAt(0, "talk", "v4", "Origin", "https://other").headers()
+                    .firstValue("Access-Control-Allow-Origin").orElse(""));
+            HttpResponse<String> nothing = stage.get(stage.at("/v1/lectures/t1/index.m3u8"));
+            assertEquals(400, nothing.statusCode());
+            assertTrue(nothing.body().contains("class: one of [talk, contractor-course]"), nothing.body());
+            stage.end();
+        }
+    }
 }
--- a/standin/src/main/java/calicovale/standin/BoxSettings.java
+++ b/standin/src/main/java/calicovale/standin/BoxSettings.java
@@ -1,5 +1,6 @@
 package calicovale.standin;
 
+import calicovale.protocols.http.CrossOrigin;
 import calicovale.protocols.json.Documents;
 import calicovale.protocols.json.InvalidDocumentException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -35,12 +36,13 @@
  * @param beatMs between beats on its streams
  * @param pieces titles of made-up pieces with their number of segments; all other titles are lectures
  * @param absent titles that this box does not hold; it holds all others
+ * @param crossOrigin the pages that may read segments
  * @param content folder of HLS content as {@code title/rung.m3u8}, or null: made up
  */
 public record BoxSettings(long id, InetSocketAddress listen, double streams, double linkKb, double fullFrom,
         double coldFrom, double warmAfterMs, double tipMultiple, double tipMs, double setUpMs, double reportEveryMs,
         double noteEveryMs, double noteDelayMs, boolean uplinkNotes, double segmentS, int segments, double idleMs,
-        double graceMs, double beatMs, Map<String, Integer> pieces, Set<String> absent, Path content) {
+        double graceMs, double beatMs, Map<String, Integer> pieces, Set<String> absent, CrossOrigin crossOrigin, Path content) {
 
     /** Reads a file and checks it whole. */
     public static BoxSettings read(Path file) throws InvalidDocumentException {
@@ -59,6 +61,14 @@
         return Map.copyOf(result);
     }
 
+    /** Reads a list of origins; segments are asked for with ranges and CMCD, and never with cookies. */
+    public static CrossOrigin crossOrigin(JsonNode origins) {
+        Set<String> all = new HashSet<>();
+        origins.forEach(origin -> all.add(origin.asText()));
+        return new CrossOrigin(all, false, 600, List.of("Content-Range", "Date", "Retry-After", "endpoint-load-metrics"),
+                List.of("CMCD-Object", "CMCD-Request", "CMCD-Session", "CMCD-Status", "Range"), List.of("GET", "HEAD"));
+    }
+
     private static BoxSettings of(JsonNode n) throws InvalidDocumentException {
         JsonNode at = n.get("listen");
         String content = n.path("content").asText(null);
@@ -74,6 +84,6 @@
                 n.path("reportEveryMs").asDouble(300), n.path("noteEveryMs").asDouble(3000),
                 n.path("noteDelayMs").asDouble(700), n.path("uplinkNotes").asBoolean(), n.path("segmentS").asDouble(2),
                 n.path("segments").asInt(20), n.path("idleMs").asDouble(10_000), n.path("graceMs").asDouble(5000),
-                n.path("beatMs").asDouble(1000), pieces(n.path("pieces")), absent, content == null ? null : Path.of(content));
+                n.path("beatMs").asDouble(1000), pieces(n.path("pieces")), absent, crossOrigin(n.path("origins")), content == null ? null : Path.of(content));
     }
 }
--- a/standin/src/main/java/calicovale/standin/MediaBox.java
+++ b/standin/src/main/java/calicovale/standin/MediaBox.java
@@ -1,6 +1,7 @@
 package calicovale.standin;
 
 import calicovale.protocols.http.BodyStream;
+import calicovale.protocols.http.ByteRange;
 import calicovale.protocols.http.EventStream;
 import calicovale.protocols.http.Exchange;
 import calicovale.protocols.http.Headers;
@@ -207,7 +208,7 @@
             incarnation = settings.id() + "-" + ++starts + "-" + Long.toString(random.nextLong() >>> 24, 36);
             model = new BoxModel(settings, rack, startedMs);
             HttpLimits d = HttpLimits.DEFAULT;
-            server = new HttpServer(loop, name, d, this::handle);
+            server = new HttpServer(loop, name, d, this::handle).crossOrigin(settings.crossOrigin());
         }
 
         private boolean gone() {
@@ -479,10 +480,24 @@
                     x.problem(404, "Not Found", "no such segment");
                     return;
                 }
+                ByteRange range = ByteRange.of(x.head().headers().get("Range"), content.length);
+                Headers headers = load().add("Accept-Ranges", "bytes");
+                if (!range.whole()) {
+                    headers.add("Content-Range", range.contentRange(content.length));
+                }
+                if (range.length() == 0) {
+                    x.problem(416, headers, "Range Not Satisfiable", "a range within " + content.length + " bytes is expected", "");
+                    return;
+                }
+                byte[] part = range.whole() ? content
+                        : Arrays.copyOfRange(content, (int) range.first(), (int) (range.first() + range.length()));
                 held.askedAt = now();
                 held.sending++;
-                BodyStream out = x.stream(200, load().add("Content-Type", "video/mp4"), content.length);
-                Transfer t = new Transfer(held, String.join("/", Arrays.asList(parts).subList(1, parts.length)), out, content, !piece && lectures.last(title, file), held.ladderKb[rung]);
+                BodyStream out = x.stream(range.whole() ? 200 : 206, headers.add("Content-Type", "video/mp4"), part.length);
+                // a part tells nothing of the whole
+                String path = range.whole() ? String.join("/", Arrays.asList(parts).subList(1, parts.length)) : null;
+                boolean last = range.whole() && !piece && lectures.last(title, file);
+                Transfer t = new Transfer(held, path, out, part, last, held.ladderKb[rung]);
                 transfers.add(t);
                 x.onGone(() -> {
                     if (transfers.remove(t)) {
@@ -526,7 +541,9 @@
                     t.held.sending--;
                     t.held.askedAt = now();
                     t.out.end();
-                    served.computeIfAbsent(t.held.manager, m -> new LinkedHashMap<>()).put(t.held.key, t.path);
+                    if (t.path != null) {
+                        served.computeIfAbsent(t.held.manager, m -> new LinkedHashMap<>()).put(t.held.key, t.path);
+                    }
                     if (t.last && model.get(t.held.key) == t.held) {
                         end(t.held, "done");
                     }
--- a/standin/src/test/java/calicovale/standin/MediaBoxTest.java
+++ b/standin/src/test/java/calicovale/standin/MediaBoxTest.java
@@ -156,4 +156,26 @@
         model.remove(held);
         assertEquals(0, rack.use(), 1e-9);
     }
+
+    @Test
+    void partsOfSegmentsAndPagesOfOtherOrigins() throws Exception {
+        box(",\"origins\":[\"https://page\"]");
+        String base = base(setUp("s.0", 1));
+        send("PUT", "/v1/sessions/s.0", "{\"confirmed\":true}");
+        URI segment = URI.create("http://127.0.0.1:" + at.getPort() + base + "1/0.m4s");
+        HttpResponse<byte[]> part = client.send(HttpRequest.newBuilder(segment).header("Range", "bytes=10-19")
+                .header("Origin", "https://page").build(), HttpResponse.BodyHandlers.ofByteArray());
+        assertEquals(206, part.statusCode());
+        assertEquals(10, part.body().length);
+        assertEquals("bytes 10-19/40000", part.headers().firstValue("Content-Range").orElse(""));
+        assertEquals("https://page", part.headers().firstValue("Access-Control-Allow-Origin").orElse(""));
+        HttpResponse<byte[]> beyond = client.send(HttpRequest.newBuilder(segment).header("Range", "bytes=40000-").build(),
+                HttpResponse.BodyHandlers.ofByteArray());
+        assertEquals(416, beyond.statusCode());
+        assertEquals("bytes */40000", beyond.headers().firstValue("Content-Range").orElse(""));
+        HttpResponse<byte[]> whole = client.send(HttpRequest.newBuilder(segment).header("Range", "bytes=9-2").build(),
+                HttpResponse.BodyHandlers.ofByteArray());
+        assertEquals(200, whole.statusCode());
+        assertEquals(40_000, whole.body().length);
+    }
 }
