--- a/rehearsal/src/test/java/calicovale/rehearsal/HardCasesTest.java
+++ b/rehearsal/src/test/java/calicovale/rehearsal/HardCasesTest.java
@@ -380,6 +380,8 @@
             assertTrue(refused.headers().firstValue("Access-Control-Expose-Headers").orElse("").contains("Retry-After"));
             assertEquals("", stage.askAt(0, "talk", "v4", "Origin", "https://other").headers()
                     .firstValue("Access-Control-Allow-Origin").orElse(""));
+            var status = calicovale.protocols.json.Documents.MAPPER.readTree(stage.get(stage.at("/v1/status")).body());
+            assertEquals(List.of(1, 0), List.of(status.path("sessions").asInt(-1), status.path("pending").asInt(-1)));
             HttpResponse<String> nothing = stage.get(stage.at("/v1/lectures/t1/index.m3u8"));
             assertEquals(400, nothing.statusCode());
             assertTrue(nothing.body().contains("class: one of [talk, contractor-course]"), nothing.body());
--- a/rehearsal/src/test/java/calicovale/rehearsal/StitchTest.java
+++ b/rehearsal/src/test/java/calicovale/rehearsal/StitchTest.java
@@ -247,6 +247,28 @@
         }
     }
 
+    @Test
+    void aSessionThatMovesWithinAPieceHasItWhole() throws Exception {
+        try (Stage stage = stage()) {
+            URI media = stage.at(Stage.media(stage.ask("talk", "v1")));
+            told(stage, 0, now("storm-1", ""));
+            until(stage, media, "the piece is listed", StitchTest::storm);
+            String id = stage.getQuietly(media).headers().firstValue("Calicovale-Session").orElseThrow();
+            var manager = stage.run.managers().get(0);
+            manager.loop().call(() -> {
+                manager.manager().move(id);
+                return true;
+            });
+            Set<String> seen = new HashSet<>();
+            until(stage, media, "all of it was listed, and the lecture behind it", p -> {
+                stage.ofPiece(p).forEach(uri -> seen.add(uri.substring(uri.lastIndexOf('/'))));
+                return seen.size() == 3 && behind(p);
+            });
+            assertEquals(1, stage.counter("moves"));
+            stage.end();
+        }
+    }
+
     @Test
     void twoManagersToldApartShowItOnceToAViewerThatComesAgain() throws Exception {
         try (Stage stage = stage("/managers", "{\"count\": 2}", "/service/viewerKey", "\"00112233445566778899aabbccddeeff\"")) {
