Membership of a group after SWIM and Lifeguard, without I/O, and its simulator in virtual time

Need: gossip among managers begins with who is in the group; it has to be right before anything is signed or sent.

Change: module gossip. Membership takes messages and the time and gives messages: probes in turn, indirect ones with nacks, suspicions that shrink with independent confirmations, refutation by incarnation, local health, bounded news, exchanges that join, heal cuts and teach a member its earlier life. GroupSimulator runs many of them seeded, with loss, delay, cuts, stalls and restarts. bench gossip. Nothing opens a socket, and no other module uses it but the bench.

Found on the way: an errand that was never let go made members wake every millisecond.

--- a/cli/src/test/java/calicovale/cli/ArrowsTest.java
+++ b/cli/src/test/java/calicovale/cli/ArrowsTest.java
@@ -23,6 +23,7 @@
                 .layer("protocols").definedBy("calicovale.protocols..")
                 .layer("front").definedBy("calicovale.front..")
                 .layer("stitch").definedBy("calicovale.stitch..")
+                .layer("gossip").definedBy("calicovale.gossip..")
                 .layer("standin").definedBy("calicovale.standin..")
                 .layer("rehearsal").definedBy("calicovale.rehearsal..")
                 .layer("cli").definedBy("calicovale.cli..")
@@ -31,15 +32,16 @@
                 .whereLayer("protocols").mayNotAccessAnyLayer()
                 .whereLayer("front").mayOnlyAccessLayers("controller", "protocols", "stitch")
                 .whereLayer("stitch").mayOnlyAccessLayers("protocols")
+                .whereLayer("gossip").mayNotAccessAnyLayer()
                 .whereLayer("standin").mayOnlyAccessLayers("protocols")
-                .whereLayer("rehearsal").mayOnlyAccessLayers("controller", "protocols", "front", "standin")
+                .whereLayer("rehearsal").mayOnlyAccessLayers("controller", "protocols", "front", "standin", "gossip")
                 .check(ALL);
     }
 
     @Test
     void whatDecidesHasNoInputAndOutput() {
         noClasses().that().resideInAnyPackage("calicovale", "calicovale.front.time", "calicovale.front.playlist",
-                "calicovale.rehearsal.judge").should().dependOnClassesThat()
+                "calicovale.gossip..", "calicovale.rehearsal.judge").should().dependOnClassesThat()
                 .resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..", "calicovale.protocols.net..")
                 .check(ALL);
     }
--- /dev/null
+++ b/gossip/src/main/java/calicovale/gossip/member/Membership.java
@@ -0,0 +1,528 @@
+package calicovale.gossip.member;
+
+import calicovale.gossip.member.Update.State;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/**
+ * Owns one member's view of the group and its part of the protocol: it takes messages and the time, and gives messages. A member
+ * is probed in turn, then through others, then suspected, and dead only when its suspicion ran out without its own refutation;
+ * only a member itself raises its incarnation.
+ *
+ * <p>All times are ms of one clock that never runs back. To be used by one thread.
+ */
+public final class Membership {
+
+    /** Carries messages; it may lose them. */
+    public interface Wire {
+        /** Sends a message to an address. */
+        void send(String address, Message message);
+    }
+
+    /** Hears of changes of the view. */
+    public interface Listener {
+        /** A member is taken for something else now; {@code before} null: it was not known. */
+        void changed(String id, State before, State now, long incarnation);
+    }
+
+    /** One member as it is seen here. */
+    public static final class Member {
+        private final String id;
+        private String address;
+        private long incarnation;
+        private State state;
+        private double sinceMs;
+        private Suspicion suspicion;
+
+        private Member(String id) {
+            this.id = id;
+        }
+
+        /** Its id. */
+        public String id() {
+            return id;
+        }
+
+        /** Where it is reached. */
+        public String address() {
+            return address;
+        }
+
+        /** Its incarnation as last heard. */
+        public long incarnation() {
+            return incarnation;
+        }
+
+        /** What it is taken for. */
+        public State state() {
+            return state;
+        }
+
+        /** Since when. */
+        public double sinceMs() {
+            return sinceMs;
+        }
+
+        /** Whether it is taken for a part of the group. */
+        public boolean present() {
+            return state == State.ALIVE || state == State.SUSPECT;
+        }
+
+        private Update update(String from) {
+            return new Update(id, address, incarnation, state, from);
+        }
+    }
+
+    /** A probe that is out. */
+    private static final class Probe {
+        final String target;
+        final long number;
+        double indirectAtMs;
+        double endMs;
+        boolean indirect;
+        boolean answered;
+        int nacksDue;
+
+        Probe(String target, long number) {
+            this.target = target;
+            this.number = number;
+        }
+    }
+
+    /** A probe made for another. */
+    private record Errand(String forAddress, long number, double nackAtMs, double endMs) {
+    }
+
+    /** An indirect probe says that it heard nothing after this part of the time-out, so that its word comes in time. */
+    private static final double NACK_PART = 0.8;
+
+    private final MemberSettings settings;
+    private final RandomGenerator random;
+    private final Wire wire;
+    private final Listener listener;
+    private final Map<String, Member> members = new LinkedHashMap<>();
+    private final Member self;
+    private final NewsQueue news = new NewsQueue();
+    private final List<String> turn = new ArrayList<>();
+    private final Map<Long, Errand> errands = new LinkedHashMap<>();
+    private final List<String> seeds;
+    private Probe probe;
+    private long numbers;
+    private int health;
+    private boolean leaving;
+    private double probeAtMs;
+    private double newsAtMs;
+    private double exchangeAtMs;
+    private long overBound;
+
+    /**
+     * A member that begins alone; {@code seeds} are addresses by which it joins, asked again while it is alone.
+     *
+     * @param incarnation above that of any earlier life, if that is known; else it learns it from the others
+     */
+    public Membership(MemberSettings settings, String id, String address, long incarnation, List<String> seeds,
+            RandomGenerator random, Wire wire, Listener listener) {
+        this.settings = settings;
+        this.random = random;
+        this.wire = wire;
+        this.listener = listener;
+        this.seeds = List.copyOf(seeds);
+        self = new Member(id);
+        self.address = address;
+        self.incarnation = incarnation;
+        self.state = State.ALIVE;
+        members.put(id, self);
+    }
+
+    /** This member as it sees itself. */
+    public Member self() {
+        return self;
+    }
+
+    /** All members known, the dead that are remembered included. */
+    public Collection<Member> members() {
+        return List.copyOf(members.values());
+    }
+
+    /** What a member is taken for; null: it is not known. */
+    public State state(String id) {
+        Member m = members.get(id);
+        return m == null ? null : m.state;
+    }
+
+    /** Members that are present, this one included. */
+    public int present() {
+        int count = 0;
+        for (Member m : members.values()) {
+            count += m.present() ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** The local health score: 0 well, higher the later this member seems to be itself (Lifeguard, 4.A). */
+    public int health() {
+        return health;
+    }
+
+    /** Updates that were not taken because {@code membersMost} are known. */
+    public long overBound() {
+        return overBound;
+    }
+
+    // --- Time ---
+
+    /** Begins: joins by the seeds. */
+    public void start(double nowMs) {
+        self.sinceMs = nowMs;
+        probeAtMs = nowMs + settings.probeMs() * random.nextDouble();
+        newsAtMs = nowMs + settings.newsMs() * random.nextDouble();
+        exchangeAtMs = nowMs + settings.exchangeMs() * (0.5 + 0.5 * random.nextDouble());
+        join();
+    }
+
+    private void join() {
+        for (String seed : seeds) {
+            if (!seed.equals(self.address)) {
+                wire.send(seed, new Message.Exchange(false, all()));
+            }
+        }
+    }
+
+    /** Leaves on purpose: the others hear it from this member itself. */
+    public void leave(double nowMs) {
+        leaving = true;
+        set(self, State.LEFT, self.incarnation, nowMs);
+        Update left = self.update(self.id);
+        for (Member m : some(settings.newsTo() * 2, null)) {
+            wire.send(m.address, new Message.News(List.of(left)));
+        }
+    }
+
+    /** Does what is due; gives the time at which something is due next. */
+    public double tick(double nowMs) {
+        if (leaving) {
+            return Double.POSITIVE_INFINITY;
+        }
+        errands(nowMs);
+        probe(nowMs);
+        suspicions(nowMs);
+        if (nowMs >= newsAtMs) {
+            newsAtMs = nowMs + settings.newsMs();
+            for (Member m : news.size() == 0 ? List.<Member>of() : some(settings.newsTo(), null)) {
+                wire.send(m.address, new Message.News(carried(null)));
+            }
+        }
+        if (nowMs >= exchangeAtMs) {
+            exchangeAtMs = nowMs + settings.exchangeMs() * (0.75 + 0.5 * random.nextDouble());
+            exchange(nowMs);
+        }
+        double next = Math.min(Math.min(probeAtMs, newsAtMs), exchangeAtMs);
+        if (probe != null) {
+            next = Math.min(next, probe.indirect ? probe.endMs : Math.min(probe.indirectAtMs, probe.endMs));
+        }
+        for (Errand e : errands.values()) {
+            next = Math.min(next, Math.min(e.nackAtMs(), e.endMs()));
+        }
+        for (Member m : members.values()) {
+            next = m.suspicion == null ? next : Math.min(next, m.suspicion.endMs());
+        }
+        return next;
+    }
+
+    private void exchange(double nowMs) {
+        forgetOld(nowMs);
+        List<Member> present = some(1, null);
+        present.forEach(m -> wire.send(m.address, new Message.Exchange(false, all())));
+        if (present.isEmpty()) {
+            join();
+        }
+        // one that is taken for dead may be the other side of a cut: it hears so, and refutes it
+        List<Member> dead = new ArrayList<>();
+        for (Member m : members.values()) {
+            if (m.state == State.DEAD) {
+                dead.add(m);
+            }
+        }
+        if (!dead.isEmpty()) {
+            wire.send(dead.get(random.nextInt(dead.size())).address, new Message.Exchange(false, all()));
+        }
+    }
+
+    private void forgetOld(double nowMs) {
+        for (Iterator<Member> i = members.values().iterator(); i.hasNext();) {
+            Member m = i.next();
+            if (!m.present() && m != self && nowMs - m.sinceMs > settings.deadKeptMs()) {
+                i.remove();
+            }
+        }
+    }
+
+    // --- Probes ---
+
+    private void probe(double nowMs) {
+        if (probe != null && !probe.answered) {
+            if (!probe.indirect && nowMs >= probe.indirectAtMs) {
+                askOthers();
+            }
+            if (nowMs >= probe.endMs) {
+                Member m = members.get(probe.target);
+                // whoever was asked and did not even say that it heard nothing: perhaps it is this member that is not heard
+                health(probe.nacksDue > 0 ? probe.nacksDue : probe.indirect ? 0 : 1);
+                probe = null;
+                if (m != null && m.state == State.ALIVE) {
+                    suspect(new Update(m.id, m.address, m.incarnation, State.SUSPECT, self.id), nowMs);
+                }
+            }
+        } else if (probe != null) {
+            probe = null;
+        }
+        if (probe != null || nowMs < probeAtMs) {
+            return;
+        }
+        double slowed = settings.probeMs() * (health + 1);
+        probeAtMs = nowMs + slowed;
+        Member target = next();
+        if (target == null) {
+            return;
+        }
+        probe = new Probe(target.id, ++numbers);
+        probe.indirectAtMs = nowMs + settings.timeoutMs() * (health + 1);
+        probe.endMs = nowMs + slowed;
+        wire.send(target.address, new Message.Ping(probe.number, target.id, carried(target)));
+    }
+
+    /** The next in turn: each member once, in an order drawn anew each round (SWIM, 4.3). */
+    private Member next() {
+        for (int tries = 0; tries <= 1; tries++) {
+            while (!turn.isEmpty()) {
+                Member m = members.get(turn.remove(turn.size() - 1));
+                if (m != null && m != self && m.present()) {
+                    return m;
+                }
+            }
+            members.keySet().forEach(turn::add);
+            for (int i = turn.size() - 1; i > 0; i--) {
+                int k = random.nextInt(i + 1);
+                turn.set(i, turn.set(k, turn.get(i)));
+            }
+        }
+        return null;
+    }
+
+    private void askOthers() {
+        probe.indirect = true;
+        Member target = members.get(probe.target);
+        if (target == null) {
+            return;
+        }
+        for (Member m : some(settings.indirect(), target)) {
+            probe.nacksDue++;
+            wire.send(m.address, new Message.PingReq(probe.number, target.id, target.address, carried(null)));
+        }
+    }
+
+    private void errands(double nowMs) {
+        for (Iterator<Map.Entry<Long, Errand>> i = errands.entrySet().iterator(); i.hasNext();) {
+            Map.Entry<Long, Errand> e = i.next();
+            Errand errand = e.getValue();
+            if (nowMs >= errand.endMs()) {
+                i.remove();
+            } else if (nowMs >= errand.nackAtMs()) {
+                wire.send(errand.forAddress(), new Message.Nack(errand.number(), carried(null)));
+                e.setValue(new Errand(errand.forAddress(), errand.number(), Double.POSITIVE_INFINITY, errand.endMs()));
+            }
+        }
+    }
+
+    private void health(int by) {
+        health = Math.max(0, Math.min(settings.healthMost() - 1, health + by));
+    }
+
+    // --- Messages ---
+
+    /** Takes a message that came from an address. */
+    public void receive(double nowMs, String address, Message message) {
+        if (leaving) {
+            return;
+        }
+        message.updates().forEach(update -> take(update, nowMs));
+        if (message instanceof Message.Ping ping) {
+            // an address may have been taken over by another member: only the one that is meant answers
+            if (ping.target().equals(self.id)) {
+                wire.send(address, new Message.Ack(ping.number(), carried(null)));
+            }
+        } else if (message instanceof Message.PingReq asked) {
+            long number = ++numbers;
+            if (errands.size() < settings.membersMost()) {
+                errands.put(number, new Errand(address, asked.number(), nowMs + NACK_PART * settings.timeoutMs(),
+                        nowMs + settings.probeMs()));
+                wire.send(asked.targetAddress(), new Message.Ping(number, asked.target(), carried(members.get(asked.target()))));
+            }
+        } else if (message instanceof Message.Ack ack) {
+            Errand errand = errands.remove(ack.number());
+            if (errand != null) {
+                wire.send(errand.forAddress(), new Message.Ack(errand.number(), carried(null)));
+            } else if (probe != null && probe.number == ack.number() && !probe.answered) {
+                probe.answered = true;
+                health(-1);
+            }
+        } else if (message instanceof Message.Nack nack) {
+            if (probe != null && probe.number == nack.number() && probe.nacksDue > 0) {
+                probe.nacksDue--;
+            }
+        } else if (message instanceof Message.Exchange exchange && !exchange.answer()) {
+            wire.send(address, new Message.Exchange(true, all()));
+        }
+    }
+
+    /** Takes one update, whoever brought it. */
+    private void take(Update u, double nowMs) {
+        switch (u.state()) {
+            case ALIVE -> alive(u, nowMs);
+            case SUSPECT -> suspect(u, nowMs);
+            case DEAD, LEFT -> dead(u, nowMs);
+        }
+    }
+
+    private void alive(Update u, double nowMs) {
+        Member m = members.get(u.id());
+        if (m == self) {
+            // an earlier life of this member: the others must hear of this one
+            if (u.incarnation() > self.incarnation || u.incarnation() == self.incarnation && !u.address().equals(self.address)) {
+                refute(u.incarnation());
+            }
+            return;
+        }
+        if (m == null) {
+            if (members.size() >= settings.membersMost()) {
+                overBound++;
+                return;
+            }
+            m = new Member(u.id());
+            m.incarnation = -1;
+            members.put(u.id(), m);
+            turn.add(random.nextInt(turn.size() + 1), u.id());
+        }
+        if (u.incarnation() <= m.incarnation) {
+            return;
+        }
+        m.address = u.address();
+        set(m, State.ALIVE, u.incarnation(), nowMs);
+        news.add(u);
+    }
+
+    private void suspect(Update u, double nowMs) {
+        Member m = members.get(u.id());
+        if (m == null || u.incarnation() < m.incarnation) {
+            return;
+        }
+        if (m == self) {
+            refute(u.incarnation());
+            return;
+        }
+        if (m.suspicion != null) {
+            if (m.suspicion.confirm(u.from())) {
+                news.add(u);
+            }
+            return;
+        }
+        if (m.state != State.ALIVE) {
+            return;
+        }
+        set(m, State.SUSPECT, u.incarnation(), nowMs);
+        int others = present() - 2;
+        double least = settings.suspicionMult() * Math.max(1, Math.log10(Math.max(1, present()))) * settings.probeMs();
+        int expected = (int) settings.suspicionMult() - 2;
+        m.suspicion = new Suspicion(u.from(), nowMs, least, least * settings.suspicionMaxMult(), others < expected ? 0 : expected);
+        news.add(u);
+    }
+
+    private void dead(Update u, double nowMs) {
+        Member m = members.get(u.id());
+        if (m == null || u.incarnation() < m.incarnation || !m.present()) {
+            return;
+        }
+        if (m == self) {
+            refute(u.incarnation());
+            return;
+        }
+        // only a member itself can say that it leaves
+        boolean left = u.state() == State.LEFT && u.from().equals(u.id());
+        set(m, left ? State.LEFT : State.DEAD, u.incarnation(), nowMs);
+        news.add(u);
+    }
+
+    private void suspicions(double nowMs) {
+        for (Member m : List.copyOf(members.values())) {
+            if (m.suspicion != null && nowMs >= m.suspicion.endMs()) {
+                dead(new Update(m.id, m.address, m.incarnation, State.DEAD, self.id), nowMs);
+            }
+        }
+    }
+
+    private void refute(long incarnation) {
+        if (leaving) {
+            return;
+        }
+        self.incarnation = Math.max(self.incarnation, incarnation) + 1;
+        health(1);
+        news.add(self.update(self.id));
+    }
+
+    private void set(Member m, State state, long incarnation, double nowMs) {
+        State before = m.sinceMs == 0 && m.state == null ? null : m.state;
+        m.incarnation = incarnation;
+        m.suspicion = null;
+        if (m.state != state) {
+            m.state = state;
+            m.sinceMs = nowMs;
+            listener.changed(m.id, before, state, incarnation);
+        }
+    }
+
+    // --- What goes out ---
+
+    /** Updates for one message; to a suspected member first what it must refute (Lifeguard, 4.C). */
+    private List<Update> carried(Member to) {
+        int times = (int) Math.ceil(settings.retransmitMult() * Math.log10(present() + 1));
+        boolean first = settings.buddy() && to != null && to.state == State.SUSPECT;
+        List<Update> rest = news.take(settings.updatesMost() - (first ? 1 : 0), times);
+        if (!first) {
+            return rest;
+        }
+        List<Update> result = new ArrayList<>(rest.size() + 1);
+        result.add(to.update(self.id));
+        result.addAll(rest);
+        return result;
+    }
+
+    private List<Update> all() {
+        List<Update> result = new ArrayList<>(members.size());
+        for (Member m : members.values()) {
+            // what an exchange says of the dead is a suspicion: the member may be on the other side, and live
+            State told = m.state == State.DEAD ? State.SUSPECT : m.state;
+            result.add(new Update(m.id, m.address, m.incarnation, told, m.state == State.LEFT ? m.id : self.id));
+        }
+        return result;
+    }
+
+    /** Some present members, none twice, without this one and {@code but}. */
+    private List<Member> some(int most, Member but) {
+        List<Member> result = new ArrayList<>();
+        for (Member m : members.values()) {
+            if (m != self && m != but && m.present()) {
+                result.add(m);
+            }
+        }
+        for (int i = 0; i < Math.min(most, result.size()); i++) {
+            int k = i + random.nextInt(result.size() - i);
+            result.set(i, result.set(k, result.get(i)));
+        }
+        return result.size() > most ? result.subList(0, most) : result;
+    }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/calicovale/rehearsal/bench/GossipBench.java
@@ -0,0 +1,80 @@
+package calicovale.rehearsal.bench;
+
+import calicovale.gossip.member.MemberSettings;
+import calicovale.gossip.member.Update.State;
+import calicovale.gossip.sim.GroupSimulator;
+import calicovale.gossip.sim.GroupSimulator.Seen;
+import java.util.List;
+
+/** Owns the measurements of groups in virtual time: traffic, detection and false detection; all figures are simulated. */
+final class GossipBench {
+    private static final int[] SIZES = {8, 32, 128, 256};
+    private static final int SEEDS = 5;
+    private static final double QUIET_MS = 120_000;
+
+    /** Where the figures go. */
+    interface Sink {
+        void tell(String what, double value);
+    }
+
+    private final Sink sink;
+
+    GossipBench(Sink sink) {
+        this.sink = sink;
+    }
+
+    private static GroupSimulator group(MemberSettings settings, int members, long seed) {
+        GroupSimulator g = new GroupSimulator(settings, seed);
+        g.start(members, 0, 0);
+        g.run(10.0 * members + 60_000);
+        if (!g.agreed()) {
+            throw new IllegalStateException(members + " members do not know each other");
+        }
+        g.seen();
+        return g;
+    }
+
+    void run() {
+        for (int size : SIZES) {
+            GroupSimulator g = group(MemberSettings.LAN, size, size);
+            g.traffic(1);
+            g.run(QUIET_MS);
+            double[] each = g.traffic(QUIET_MS);
+            sink.tell("simulated: messages a second for a member of " + size, each[0]);
+            sink.tell("simulated: bytes a second for a member of " + size, each[1]);
+        }
+        for (int size : SIZES) {
+            double suspected = 0;
+            double first = 0;
+            double last = 0;
+            for (int seed = 0; seed < SEEDS; seed++) {
+                GroupSimulator g = group(MemberSettings.LAN, size, 100 + seed);
+                double from = g.nowMs();
+                g.kill("m1");
+                g.run(400_000);
+                List<Seen> all = g.seen();
+                suspected += all.stream().filter(s -> s.now() == State.SUSPECT && s.of().equals("m1")).mapToDouble(Seen::atMs).min()
+                        .orElseThrow() - from;
+                first += all.stream().filter(s -> s.now() == State.DEAD).mapToDouble(Seen::atMs).min().orElseThrow() - from;
+                last += all.stream().filter(s -> s.now() == State.DEAD).mapToDouble(Seen::atMs).max().orElseThrow() - from;
+            }
+            // SWIM, 3: a failure is first noticed after e/(e-1) periods on the mean, whatever the size
+            sink.tell("simulated: ms to the first suspicion in " + size + " (SWIM: 1582 and the period itself)", suspected / SEEDS);
+            sink.tell("simulated: ms to the first detection in " + size, first / SEEDS);
+            sink.tell("simulated: ms to the last detection in " + size, last / SEEDS);
+        }
+        for (boolean lifeguard : new boolean[] {true, false}) {
+            MemberSettings settings = lifeguard ? MemberSettings.LAN : MemberSettings.LAN.withoutLifeguard();
+            double members = 0;
+            for (int seed = 0; seed < SEEDS; seed++) {
+                GroupSimulator g = group(settings, 30, 200 + seed);
+                g.network(0.3, 1, 40);
+                g.run(720_000);
+                members += g.seen().stream().filter(s -> s.now() == State.DEAD).map(s -> s.of() + " " + Math.round(s.atMs() / 60_000))
+                        .distinct().count();
+            }
+            sink.tell("simulated: live members declared dead an hour, 30% loss, " + (lifeguard ? "with" : "without") + " Lifeguard",
+                    members);
+        }
+    }
+}
