--- a/rehearsal/src/main/java/calicovale/rehearsal/run/Ports.java
+++ b/rehearsal/src/main/java/calicovale/rehearsal/run/Ports.java
@@ -1,9 +1,12 @@
 package calicovale.rehearsal.run;
 
 import java.io.IOException;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -15,6 +18,9 @@
     private static final int COUNT = 12_000;
     private static final AtomicInteger NEXT = new AtomicInteger((int) (ProcessHandle.current().pid() * 601 % COUNT));
 
+    /** A datagram socket of the same number claims each port given for the life of this process: others pass it over. */
+    private static final List<DatagramSocket> CLAIMS = new CopyOnWriteArrayList<>();
+
     private Ports() {
     }
 
@@ -22,6 +28,14 @@
     static InetSocketAddress free() {
         for (int i = 0; i < COUNT; i++) {
             int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), COUNT);
+            DatagramSocket claim;
+            try {
+                claim = new DatagramSocket(port, InetAddress.getLoopbackAddress());
+            } catch (IOException e) {
+                // another process has it, and may be about to listen
+                continue;
+            }
+            CLAIMS.add(claim);
             try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 return new InetSocketAddress("127.0.0.1", probe.getLocalPort());
             } catch (IOException e) {
