--- a/front/src/main/java/calicovale/front/player/SessionKeeper.java
+++ b/front/src/main/java/calicovale/front/player/SessionKeeper.java
@@ -68,7 +68,7 @@
         if (!soon && !v.kept.underWay) {
             reserve(v);
         }
-        return covered || !ledger.on();
+        return covered;
     }
 
     private void reserve(Viewing v) {
--- a/protocols/src/main/java/calicovale/protocols/http/HttpServer.java
+++ b/protocols/src/main/java/calicovale/protocols/http/HttpServer.java
@@ -227,6 +227,9 @@
                 LOG.error("{}: the handler of {} {} failed", name, exchange.head().method(), exchange.head().path(), e);
                 if (!exchange.answered()) {
                     exchange.problem(500, "Internal Server Error", "the request could not be handled");
+                } else if (stream != null) {
+                    // a streamed answer that has begun can't be made whole: it must not look as if it went on
+                    connection.reset(new IOException("the handler failed", e));
                 }
             }
         }
--- a/protocols/src/test/java/calicovale/protocols/http/CrossOriginTest.java
+++ b/protocols/src/test/java/calicovale/protocols/http/CrossOriginTest.java
@@ -36,6 +36,10 @@
                     out.write(new byte[] {'o', 'k'});
                     out.end();
                 }
+                case "/broken" -> {
+                    x.stream(200, new Headers(), 99).write(new byte[] {'o'});
+                    throw new IllegalStateException("a fault of ours, too late");
+                }
                 default -> x.respond(200, "text/plain", "ok");
             }
         }).crossOrigin(permitted);
@@ -67,6 +71,7 @@
             assertFalse(answer.contains("Credentials"), answer);
         }
         assertTrue(ask(of(false, PAGE), request("GET", "/fail", "")).startsWith("HTTP/1.1 500 "));
+        assertThrows(IOException.class, () -> ask(of(false, PAGE), request("GET", "/broken", "")), "not a quiet half answer");
         // what the parser refuses behind a whole head: the body is over the bound
         String refused = ask(of(false, PAGE), request("POST", "/x", "Origin: " + PAGE + "\r\nContent-Length: 99999999\r\n"));
         assertTrue(refused.startsWith("HTTP/1.1 413 "), refused);
