A playlist is written from its own runs; a piece's box is asked one way, wherever it is

Cause: read again, each reload looked the sources of its rungs up twice though runs hold them, and failed where a cache had dropped one; a piece at another box had a way of its own, which waited for nothing when that box had failed; the ledger read back what it had just written; changes that were over were forgotten only when an operator called.

Change: SessionPlaylist knows its lecture, Reloads asks for no sources but the one in force; one switch for both kinds of box; steps are applied as they are; the desk looks for what is over in its time.

--- a/front/src/main/java/calicovale/front/operators/ChangeDesk.java
+++ b/front/src/main/java/calicovale/front/operators/ChangeDesk.java
@@ -83,8 +83,8 @@
         }
         if (watch != null) {
             watch.knew(byFile.keySet());
-            loop.execute(this::look);
         }
+        loop.execute(this::look);
     }
 
     private void recover() throws IOException {
@@ -288,10 +288,15 @@
         }
     }
 
-    // --- The watched folder ---
+    // --- In its time ---
 
+    /** What is over is forgotten, and the folder looked at, where there is one. */
     private void look() {
         expire();
+        if (watch == null) {
+            loop.schedule(settings.times().watch(), this::look);
+            return;
+        }
         boolean taken = onDisk(() -> {
             try {
                 return watch.look();
--- a/front/src/main/java/calicovale/front/player/Programme.java
+++ b/front/src/main/java/calicovale/front/player/Programme.java
@@ -1,6 +1,7 @@
 package calicovale.front.player;
 
 import calicovale.ControllerApi.SessionClass;
+import calicovale.front.box.BoxLink;
 import calicovale.front.host.FrontCounters;
 import calicovale.front.ledger.LedgerDesk;
 import calicovale.front.playlist.Piece;
@@ -349,40 +350,32 @@
         if (r == null) {
             return null;
         }
-        String base;
-        if (home != null) {
-            base = home.base + r.rung() + "/";
-            if (sources.get(c.title(), r.rung()) == null && !ask(v, home, c, r)) {
-                return home.box == null ? null : Piece.WAIT;
+        BoxLink box = home != null ? home.box : v.box;
+        switch (holders.state(box, c.title(), r.rung())) {
+            case ASKING -> {
+                holders.whenKnown(box, c.title(), r.rung(), () -> ready(v));
+                return Piece.WAIT;
             }
-        } else {
-            switch (holders.state(v.box, c.title(), r.rung())) {
-                case ASKING -> {
-                    holders.whenKnown(v.box, c.title(), r.rung(), () -> ready(v));
-                    return Piece.WAIT;
-                }
-                case LACKS -> {
+            case LACKS -> {
+                if (home == null) {
                     setUp(v, c);
-                    return null;
                 }
-                case FAILED -> {
-                    return null;
-                }
-                default -> base = v.base + "p/" + c.title() + "/" + r.rung() + "/";
+                return null;
             }
+            case FAILED -> {
+                return null;
+            }
+            default -> { }
         }
         Source source = sources.get(c.title(), r.rung());
         int to = c.replaceS() > 0 ? Math.max(segment + 1, v.source.boundaryAt(v.source.startS(segment) + c.replaceS())) : segment;
         String asset = v.interstitials ? "/s/" + v.token + "/pieces/" + c.id() + ".m3u8" : null;
-        return new Piece(c.id(), r.rung(), base, source, segment, to, asset);
+        return new Piece(c.id(), r.rung(), base(v, home, c, r), source, segment, to, asset);
     }
 
-    /** Asks a piece's home for a playlist; true if it is here now. */
-    private boolean ask(Viewing v, Viewing home, Change c, Change.Rendition r) {
-        if (holders.state(home.box, c.title(), r.rung()) == PieceHolders.State.ASKING) {
-            holders.whenKnown(home.box, c.title(), r.rung(), () -> ready(v));
-        }
-        return sources.get(c.title(), r.rung()) != null;
+    /** Where a rendition's segments are: in a set-up of its own the piece is the title, else it lies below the lecture's. */
+    private static String base(Viewing v, Viewing home, Change c, Change.Rendition r) {
+        return home != null ? home.base + r.rung() + "/" : v.base + "p/" + c.title() + "/" + r.rung() + "/";
     }
 
     /** A piece that was listed and not played: from where it is had now, unless it was withdrawn. */
@@ -413,13 +406,11 @@
         }
         Source source = sources.get(c.title(), r.rung());
         if (source == null || source.count() != piece.source().count()) {
-            if (home == null) {
-                holders.state(v.box, c.title(), r.rung());
-            }
+            // at the next segment it may be here
+            holders.state(home != null ? home.box : v.box, c.title(), r.rung());
             return piece;
         }
-        String base = home != null ? home.base + r.rung() + "/" : v.base + "p/" + c.title() + "/" + r.rung() + "/";
-        return new Piece(piece.id(), r.rung(), base, source, piece.from(), piece.to(), piece.asset());
+        return new Piece(piece.id(), r.rung(), base(v, home, c, r), source, piece.from(), piece.to(), piece.asset());
     }
 
     // --- Pieces from other boxes ---
@@ -515,7 +506,7 @@
     }
 
     /** A box was lost. */
-    void lost(calicovale.front.box.BoxLink box) {
+    void lost(BoxLink box) {
         holders.lost(box);
     }
 
--- a/front/src/main/java/calicovale/front/player/Reloads.java
+++ b/front/src/main/java/calicovale/front/player/Reloads.java
@@ -74,7 +74,7 @@
             case PLAYING -> serve(v, x, true);
             case PLACING -> setUps.await(v, x);
             case ENDED, LOST -> {
-                if (v.source != null && v.playlist.complete(v.source)) {
+                if (v.playlist.complete()) {
                     serve(v, x, false);
                 } else if (table.draining || table.pending >= settings.bounds().pending()) {
                     counters.count(table.draining ? "refused-draining" : "bound-pending-hit");
@@ -87,57 +87,51 @@
         }
     }
 
-    /** Answers with the session's playlist, once the sources that it needs are here. */
+    /** Answers with the session's playlist, once the lecture at the rung in force is here. */
     void serve(Viewing v, Exchange x, boolean mayFetch) {
-        Source now = sources.get(v.title, v.rung);
-        int missing = -1;
-        if (now == null && v.state == Viewing.State.PLAYING) {
-            missing = v.rung;
-        }
-        if (now != null && v.state == Viewing.State.PLAYING) {
-            v.source = now;
-            SessionKeeper.goOn(v, now);
-            if (!v.playlist.extend(now, v.rung, v.base + v.rung + "/", nowMs(), programme.stitcher(v))) {
-                programme.whenReady(v, () -> {
+        if (v.state == Viewing.State.PLAYING) {
+            Source now = sources.get(v.title, v.rung);
+            if (now == null && mayFetch) {
+                // what could not be had is not asked for again by this exchange
+                sources.fetch(v.box, v.title, v.rung, () -> {
                     if (!x.gone()) {
-                        route(v, x);
+                        serve(v, x, false);
                     }
                 });
                 return;
             }
-            programme.extended(v);
-        }
-        missing = missing >= 0 ? missing : missing(v);
-        if (missing >= 0 && mayFetch && v.box != null) {
-            int fetched = missing;
-            // what could not be had is not asked for again by this exchange
-            sources.fetch(v.box, v.title, fetched, () -> {
-                if (!x.gone()) {
-                    serve(v, x, sources.get(v.title, fetched) != null);
-                }
-            });
-            return;
+            if (now != null && !extend(v, x, now)) {
+                return;
+            }
         }
-        if (v.playlist.runs() == 0 || missing(v) >= 0) {
+        if (v.playlist.runs() == 0) {
             counters.count("reloads-failed");
             x.problem(502, "Bad Gateway", "the lecture's playlist can't be had");
-            return;
-        }
-        if (keeper.covers(v)) {
+        } else if (keeper.covers(v)) {
             give(v, x);
         } else {
             keeper.whenKept(() -> {
-                if (x.gone()) {
-                    return;
+                if (!x.gone()) {
+                    give(v, x);
                 }
-                if (v.playlist.runs() == 0 || missing(v) >= 0) {
-                    // a source was dropped meanwhile
+            });
+        }
+    }
+
+    /** Adds what is due; false: a piece or the disk is waited for, and the exchange is taken up again then. */
+    private boolean extend(Viewing v, Exchange x, Source now) {
+        v.source = now;
+        SessionKeeper.goOn(v, now);
+        if (!v.playlist.extend(now, v.rung, v.base + v.rung + "/", nowMs(), programme.stitcher(v))) {
+            programme.whenReady(v, () -> {
+                if (!x.gone()) {
                     route(v, x);
-                } else {
-                    give(v, x);
                 }
             });
+            return false;
         }
+        programme.extended(v);
+        return true;
     }
 
     private void give(Viewing v, Exchange x) {
@@ -147,7 +141,7 @@
             headers.add("Set-Cookie", cookie);
         }
         text.setLength(0);
-        v.playlist.render(rung -> sources.get(v.title, rung), text);
+        v.playlist.render(text);
         x.respond(200, headers, text.toString().getBytes(StandardCharsets.UTF_8));
     }
 
@@ -164,14 +158,4 @@
         x.respond(200, PlayerAnswers.named(v.id).add("Content-Type", PlayerAnswers.HLS).add("Cache-Control", "no-store"),
                 piece.render().getBytes(StandardCharsets.UTF_8));
     }
-
-    /** A rung that the playlist shows and whose source is not here; -1: none. */
-    private int missing(Viewing v) {
-        for (int rung : v.playlist.rungsShown()) {
-            if (sources.get(v.title, rung) == null) {
-                return rung;
-            }
-        }
-        return -1;
-    }
 }
--- a/front/src/main/java/calicovale/front/playlist/SessionPlaylist.java
+++ b/front/src/main/java/calicovale/front/playlist/SessionPlaylist.java
@@ -62,7 +62,8 @@
     private final List<Mark> marks = new ArrayList<>(0);
     private final List<Piece> plan = new ArrayList<>(0);
     private int nextPlaced;
-    private int shownRung = -1;
+    /** The lecture as it was extended last; null before that. */
+    private Source lecture;
     private long nextSequence;
     private int number;
     private boolean restored;
@@ -94,11 +95,6 @@
         restored = true;
     }
 
-    /** The rung of the newest segment of the lecture shown; -1 before the first. */
-    public int shownRung() {
-        return shownRung;
-    }
-
     /** Number of runs kept: those that the window shows, however long the session plays. */
     public int runs() {
         return runs.size();
@@ -176,8 +172,8 @@
     }
 
     /** Whether the last segment has been shown. */
-    public boolean complete(Source source) {
-        return nextSegment >= source.count() && piece == null;
+    public boolean complete() {
+        return lecture != null && nextSegment >= lecture.count() && piece == null;
     }
 
     private static double length(Source source, int segment) {
@@ -313,6 +309,7 @@
      * @return false if the stitcher's answer is waited for
      */
     public boolean extend(Source source, int rung, String base, double nowMs, Piece.Stitcher stitcher) {
+        lecture = source;
         if (targetS == 0) {
             targetS = Math.max(shape.targetS(), source.targetS());
         }
@@ -391,7 +388,6 @@
             runs.add(new Run(nextSequence, segment, rung, base, of, part, nextPlaced, number, endMs, endDateMs()));
         }
         sealed = false;
-        shownRung = part == null ? rung : shownRung;
         nextSequence++;
         endMs += length(of, segment);
         while (endOf(0) <= firstShown()) {
@@ -402,24 +398,6 @@
         }
     }
 
-    /** The source of each run of the lecture may differ by its rung; pieces bring their own. */
-    public interface Sources {
-        /** The lecture at a rung; null where it is not at hand. */
-        Source at(int rung);
-    }
-
-    /** The lecture's rungs that the window shows now: their sources are needed for {@link #render}. */
-    public List<Integer> rungsShown() {
-        List<Integer> result = new ArrayList<>();
-        for (int i = 0; i < runs.size(); i++) {
-            boolean lecture = runs.get(i).piece() == null;
-            if (lecture && !result.contains(runs.get(i).rung())) {
-                result.add(runs.get(i).rung());
-            }
-        }
-        return result;
-    }
-
     private long endOf(int run) {
         return run + 1 < runs.size() ? runs.get(run + 1).firstSequence() : nextSequence;
     }
@@ -430,14 +408,14 @@
     }
 
     /** The playlist's text. */
-    public String render(Sources sources) {
+    public String render() {
         StringBuilder out = new StringBuilder(1024);
-        render(sources, out);
+        render(out);
         return out.toString();
     }
 
     /** Appends the playlist's text. */
-    public void render(Sources sources, StringBuilder out) {
+    public void render(StringBuilder out) {
         long first = firstShown();
         long sequence = first;
         int mark = 0;
@@ -483,8 +461,7 @@
                 source.write(out, n, run.base(), state);
             }
         }
-        Source lecture = shownRung >= 0 ? sources.at(shownRung) : null;
-        if (lecture != null && complete(lecture)) {
+        if (complete()) {
             out.append("#EXT-X-ENDLIST\n");
         }
     }
--- a/front/src/test/java/calicovale/front/SessionPlaylistTest.java
+++ b/front/src/test/java/calicovale/front/SessionPlaylistTest.java
@@ -41,9 +41,9 @@
         Source source = source(10);
         SessionPlaylist p = new SessionPlaylist(SHAPE, 0, T0);
         p.extend(source, 3, "http://a/3/", 0);
-        assertEquals(List.of("http://a/3/0.m4s", "http://a/3/1.m4s", "http://a/3/2.m4s"), uris(p.render(r -> source)));
+        assertEquals(List.of("http://a/3/0.m4s", "http://a/3/1.m4s", "http://a/3/2.m4s"), uris(p.render()));
         p.extend(source, 3, "http://a/3/", 9000);
-        Playlist later = Playlist.parse(p.render(r -> source));
+        Playlist later = Playlist.parse(p.render());
         assertEquals(2, later.number("EXT-X-MEDIA-SEQUENCE", -1));
         assertEquals(List.of("http://a/3/2.m4s", "http://a/3/3.m4s", "http://a/3/4.m4s", "http://a/3/5.m4s", "http://a/3/6.m4s"),
                 later.entries().stream().map(Playlist.Entry::uri).toList());
@@ -51,7 +51,7 @@
         assertEquals("2", later.entries().get(0).value("EXT-X-VENDOR"));
         assertFalse(later.ended());
         p.extend(source, 3, "http://a/3/", 60_000);
-        assertTrue(Playlist.parse(p.render(r -> source)).ended());
+        assertTrue(Playlist.parse(p.render()).ended());
     }
 
     @Test
@@ -60,13 +60,13 @@
         SessionPlaylist p = new SessionPlaylist(SHAPE, 0, T0);
         p.extend(source, 3, "http://a/3/", 0);
         p.extend(source, 1, "http://a/1/", 2500);
-        Playlist shown = Playlist.parse(p.render(r -> source));
+        Playlist shown = Playlist.parse(p.render());
         assertEquals("http://a/1/3.m4s", shown.entries().get(3).uri());
         assertTrue(shown.entries().get(3).has("EXT-X-DISCONTINUITY"));
         assertEquals("URI=\"http://a/1/init.mp4\"", shown.entries().get(3).value("EXT-X-MAP"));
         assertEquals(0, shown.number("EXT-X-DISCONTINUITY-SEQUENCE", 0));
         p.extend(source, 1, "http://a/1/", 13_000);
-        assertEquals(1, Playlist.parse(p.render(r -> source)).number("EXT-X-DISCONTINUITY-SEQUENCE", 0));
+        assertEquals(1, Playlist.parse(p.render()).number("EXT-X-DISCONTINUITY-SEQUENCE", 0));
     }
 
     @Test
@@ -76,7 +76,7 @@
         p.extend(source, 3, "http://a/3/", 0);
         p.resume(source, 2500, 8000);
         p.extend(source, 2, "http://b/2/", 8000);
-        Playlist shown = Playlist.parse(p.render(r -> source));
+        Playlist shown = Playlist.parse(p.render());
         assertEquals(List.of("http://a/3/1.m4s", "http://a/3/2.m4s", "http://b/2/1.m4s", "http://b/2/2.m4s", "http://b/2/3.m4s"),
                 shown.entries().stream().map(Playlist.Entry::uri).toList());
         assertEquals(1, shown.number("EXT-X-MEDIA-SEQUENCE", -1));
@@ -93,11 +93,11 @@
         List<String> all = new ArrayList<>();
         for (double now = 0; now < 12_000; now += 1000) {
             p.extend(source, 3, "http://a/3/", now, now < 1500 ? before2 : Piece.Stitcher.NONE);
-            uris(p.render(r -> source)).stream().filter(u -> !all.contains(u)).forEach(all::add);
+            uris(p.render()).stream().filter(u -> !all.contains(u)).forEach(all::add);
         }
         assertEquals(List.of("http://a/3/0.m4s", "http://a/3/1.m4s", "http://a/p/1/0.m4s", "http://a/p/1/1.m4s",
                 "http://a/p/1/2.m4s", "http://a/3/2.m4s", "http://a/3/3.m4s", "http://a/3/4.m4s"), all);
-        Playlist shown = Playlist.parse(p.render(r -> source));
+        Playlist shown = Playlist.parse(p.render());
         Playlist.Entry back = shown.entries().stream().filter(e -> e.uri().equals("http://a/3/2.m4s")).findFirst().orElseThrow();
         assertTrue(back.has("EXT-X-DISCONTINUITY") && back.has("EXT-X-MAP"));
         // lost within the piece: the lecture goes on where the piece had been put
@@ -106,7 +106,7 @@
         q.extend(source, 3, "http://a/3/", 3000, before2);
         q.resume(source, 5000, 9000);
         q.extend(source, 3, "http://b/3/", 9000);
-        List<String> after = uris(q.render(r -> source));
+        List<String> after = uris(q.render());
         assertEquals("http://b/3/2.m4s", after.stream().filter(u -> u.startsWith("http://b/")).findFirst().orElseThrow());
     }
 
@@ -116,7 +116,7 @@
         for (double ms = 0; ms < 2.5e14; ms += 86_399_777.0 * 997) {
             SessionPlaylist p = new SessionPlaylist(SHAPE, 0, ms);
             p.extend(source, 0, "http://a/", 0);
-            String date = Playlist.parse(p.render(r -> source)).entries().get(0).value("EXT-X-PROGRAM-DATE-TIME");
+            String date = Playlist.parse(p.render()).entries().get(0).value("EXT-X-PROGRAM-DATE-TIME");
             assertEquals(java.time.Instant.ofEpochMilli(Math.round(ms)), java.time.Instant.parse(date));
         }
     }
@@ -129,7 +129,7 @@
                 + "#EXT-X-DISCONTINUITY\n#EXTINF:2,\nhttps://other/x\n");
         SessionPlaylist p = new SessionPlaylist(new SessionPlaylist.Shape(1, 0, 0), 0, T0);
         p.extend(source, 0, "http://a/b/", 2000);
-        Playlist second = Playlist.parse(p.render(r -> source));
+        Playlist second = Playlist.parse(p.render());
         Playlist.Entry first = second.entries().get(0);
         assertEquals("METHOD=AES-128,URI=\"http://a/b/k\",IV=0x0000000000000000000000000000000A", first.value("EXT-X-KEY"));
         assertEquals("URI=\"http://a/i.mp4\",BYTERANGE=\"9@0\"", first.value("EXT-X-MAP"));
@@ -137,7 +137,7 @@
         assertEquals("METHOD=NONE", second.entries().get(1).value("EXT-X-KEY"));
         assertEquals("7@11", second.entries().get(1).value("EXT-X-BYTERANGE"));
         p.extend(source, 0, "http://a/b/", 60_000);
-        Playlist.Entry last = Playlist.parse(p.render(r -> source)).entries().get(1);
+        Playlist.Entry last = Playlist.parse(p.render()).entries().get(1);
         assertTrue(last.uri().equals("https://other/x") && last.has("EXT-X-DISCONTINUITY") && last.has("EXT-X-MAP"));
         org.junit.jupiter.api.Assertions.assertThrows(HlsException.class, () -> Source.parse(
                 "#EXTM3U\n#EXT-X-TARGETDURATION:2\n#EXTINF:2,\n#EXT-X-BYTERANGE:7\nf\n"));
@@ -171,7 +171,7 @@
                 p.extend(source, rung, "http://" + box + "/" + rung + "/", now,
                         (n, s, ms) -> n % every == 0 && stitched.add(n)
                                 ? new Piece("storm" + n, 0, "http://" + at + "/p/", storm, n, n + n % 2, null) : null);
-                Playlist shown = Playlist.parse(p.render(r -> source));
+                Playlist shown = Playlist.parse(p.render());
                 assertTrue(p.runs() <= SHAPE.ahead() + 1 + SHAPE.behind(), p.runs() + " runs are kept");
                 long sequence = shown.number("EXT-X-MEDIA-SEQUENCE", -1);
                 long number = shown.number("EXT-X-DISCONTINUITY-SEQUENCE", 0);
--- a/rehearsal/src/test/java/calicovale/rehearsal/PlayingTest.java
+++ b/rehearsal/src/test/java/calicovale/rehearsal/PlayingTest.java
@@ -91,7 +91,7 @@
                 }
             });
             if (p.runs() > 0) {
-                String text = p.render(x -> lecture);
+                String text = p.render();
                 assertEquals(List.of(), rules.take(text), text);
                 assertTrue(rules.segments().size() <= SHAPE.ahead() + 1 + SHAPE.behind());
                 if (what % 4 == 0) {
@@ -134,7 +134,7 @@
                     return new Piece(old.id(), 1, base + "p/", piece, old.from(), old.to(), null);
                 }
             });
-            String text = p.render(x -> lecture);
+            String text = p.render();
             assertEquals(List.of(), rules.take(text), text);
             for (PlaylistRules.Segment s : rules.segments()) {
                 if (!s.uri().startsWith(base)) {
--- a/stitch/src/main/java/calicovale/stitch/SessionLedger.java
+++ b/stitch/src/main/java/calicovale/stitch/SessionLedger.java
@@ -8,7 +8,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -69,7 +68,11 @@
                 e.get(3).asText(), e.get(4).asText(), e.get(5).asInt(), e.get(6).asDouble(), e.get(7).asLong(), e.get(8).asInt(),
                 e.get(9).asInt(), e.get(10).asLong(), e.get(11).asDouble(), e.get(12).asDouble())));
         n.path("over").forEach(token -> entries.remove(token.asText()));
-        n.path("shown").forEach(x -> showings.computeIfAbsent(x.get(0).asText(), id -> new LinkedHashSet<>()).add(x.get(1).asText()));
+        n.path("shown").forEach(x -> show(new Showing(x.get(0).asText(), x.get(1).asText())));
+    }
+
+    private void show(Showing s) {
+        showings.computeIfAbsent(s.change(), id -> new LinkedHashSet<>()).add(s.name());
     }
 
     /** What opening found. */
@@ -96,13 +99,13 @@
 
     /** Writes steps with one force; they are on disk when this returns. {@code changes}: showings of others are forgotten. */
     public void write(Steps steps, Set<String> changes) throws IOException {
-        List<String> records = records(steps);
-        log.append(records);
-        for (String record : records) {
-            read(Documents.MAPPER.readTree(record));
-        }
+        log.append(records(steps));
+        aliveMs = Math.max(aliveMs, steps.aliveMs());
+        steps.entries().forEach(e -> entries.put(e.token(), e));
+        entries.keySet().removeAll(steps.over());
+        steps.showings().forEach(this::show);
         if (log.length() > Math.max(snapshotBytes, 400L * entries.size())) {
-            showings.keySet().retainAll(new HashSet<>(changes));
+            showings.keySet().retainAll(changes);
             log.snapshot(records(new Steps(entries.values(), List.of(), showings(), aliveMs)));
         }
     }
