--- a/rehearsal/src/test/java/calicovale/rehearsal/StitchTest.java
+++ b/rehearsal/src/test/java/calicovale/rehearsal/StitchTest.java
@@ -177,7 +177,7 @@
 
     @Test
     void aManagerKilledWithTheChangeGivenGoesOnAboveItAndShowsItNoMore() throws Exception {
-        try (Stage stage = stage("/service/times/aliveMs", "100")) {
+        try (Stage stage = stage("/service/times/aliveMs", "100", "/boxes/idleMs", "60000")) {
             URI media = stage.at(Stage.media(stage.ask("talk", "v1")));
             until(stage, media, "the lecture is under way", p -> segment(Stage.segments(p).get(0)) > 4);
             told(stage, 0, now("storm-1", ""));
@@ -192,7 +192,7 @@
             });
             assertTrue(Playlist.parse(first[0]).number("EXT-X-MEDIA-SEQUENCE", -1) >= given, first[0]);
             int place = segment(Stage.segments(first[0]).get(0));
-            assertTrue(place >= segment(Stage.segments(last).get(0)), "the lecture does not begin again: " + first[0]);
+            assertTrue(place >= segment(Stage.segments(last).get(0)), "the lecture does not begin again: " + first[0] + " after " + last);
             assertEquals(1, stage.counter("sessions-back"));
             assertEquals(1, stage.end().playlists().shown());
         }
