A piece that a box lacks is set up elsewhere at one place, ahead of its boundary

Cause: the set-up stood twice, at the boundary and ahead of it; taking either out changed nothing, and a piece lost with its box asked for a set-up that was let go at once. Change: only what is due soon is set up.

--- a/front/src/main/java/calicovale/front/player/Programme.java
+++ b/front/src/main/java/calicovale/front/player/Programme.java
@@ -356,13 +356,8 @@
                 holders.whenKnown(box, c.title(), r.rung(), () -> ready(v));
                 return Piece.WAIT;
             }
-            case LACKS -> {
-                if (home == null) {
-                    setUp(v, c);
-                }
-                return null;
-            }
-            case FAILED -> {
+            case LACKS, FAILED -> {
+                // what is due soon is set up at a holder by prepare()
                 return null;
             }
             default -> { }
