--- a/bench-adapter/src/main/java/calicovale/adapter/WireAdapter.java
+++ b/bench-adapter/src/main/java/calicovale/adapter/WireAdapter.java
@@ -19,6 +19,8 @@
 import calicovale.ControllerApi.Takeover;
 import calicovale.ControllerApi.TimerFired;
 import calicovale.SessionController;
+import calicovale.host.BadValueException;
+import calicovale.host.PlatformSettings;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -49,13 +51,13 @@
         while ((line = in.readLine()) != null) {
             try {
                 handle(line);
-            } catch (WireException e) {
+            } catch (BadValueException e) {
                 complaints.println("calicovale adapter: " + e.getMessage());
             }
         }
     }
 
-    private void handle(String line) throws IOException, WireException {
+    private void handle(String line) throws IOException, BadValueException {
         if (line.equals("GO")) {
             reply.append("EOR\n");
             out.append(reply);
@@ -75,7 +77,7 @@
             case "NEW_INSTANCE" -> {
                 int who = f.integer("who");
                 long seed = f.whole("rngSeed");
-                Settings settings = WireSettings.read(f);
+                Settings settings = PlatformSettings.controller(f);
                 try {
                     controllers.put(who, new SessionController(settings, seed, nowMs, new Sink(who)));
                 } catch (IllegalArgumentException e) {
@@ -89,7 +91,7 @@
         }
     }
 
-    private void dispatch(Fields f) throws WireException {
+    private void dispatch(Fields f) throws BadValueException {
         int who = f.integer("who");
         SessionController controller = controllers.get(who);
         if (controller == null) {
@@ -106,7 +108,7 @@
         }
     }
 
-    private Event event(Fields f) throws WireException {
+    private Event event(Fields f) throws BadValueException {
         return switch (f.name()) {
             case "DEMAND" -> request(f);
             case "RESUMED" -> new Takeover(request(f), f.whole("server"));
@@ -130,14 +132,14 @@
         };
     }
 
-    private static Request request(Fields f) throws WireException {
+    private static Request request(Fields f) throws BadValueException {
         return new Request(f.text("tid"), f.integer("band"), f.integer("realm", 0), f.text("object", ""),
                 f.text("item", ""), f.number("dropDeadMs", Double.MAX_VALUE), f.number("workMs", 0),
                 f.integer("fromCell", 0), f.integer("span", Integer.MAX_VALUE),
                 f.integer("top", Integer.MAX_VALUE), f.flag("isRetry"), f.flag("moved"), f.flag("reconnect"));
     }
 
-    private ServerList list(Fields f) throws WireException {
+    private ServerList list(Fields f) throws BadValueException {
         String scope = f.text("scope");
         ListScope kind = switch (scope) {
             case "INCREMENTAL" -> ListScope.CHANGES;
@@ -156,9 +158,9 @@
         return new ServerList(kind, f.has("generation") ? f.whole("generation") : 0, entries);
     }
 
-    private List<ServerEntry> rows(int count) throws IOException, WireException {
+    private List<ServerEntry> rows(int count) throws IOException, BadValueException {
         List<ServerEntry> result = new ArrayList<>();
-        WireException wrong = null;
+        BadValueException wrong = null;
         for (int i = 0; i < count; i++) {
             String line = in.readLine();
             if (line == null) {
@@ -166,7 +168,7 @@
             }
             try {
                 result.add(row(line));
-            } catch (WireException e) {
+            } catch (BadValueException e) {
                 wrong = e;
             }
         }
@@ -176,7 +178,7 @@
         return List.copyOf(result);
     }
 
-    private static ServerEntry row(String line) throws WireException {
+    private static ServerEntry row(String line) throws BadValueException {
         Fields f = Fields.parse(line);
         if (!f.name().equals("ROW")) {
             throw new WireException("a ROW is due here", line);
@@ -192,7 +194,7 @@
                 f.integer("place", 0), f.number("lastStartMs", 0), f.number("share", 1));
     }
 
-    private static Outcome outcome(Fields f) throws WireException {
+    private static Outcome outcome(Fields f) throws BadValueException {
         String code = f.text("result");
         return switch (code) {
             case "200" -> Outcome.OK;
@@ -207,7 +209,7 @@
         };
     }
 
-    private static byte[] bytes(Fields f) throws WireException {
+    private static byte[] bytes(Fields f) throws BadValueException {
         String raw = f.text("raw", "-");
         try {
             return raw.equals("-") ? new byte[0] : HexFormat.of().parseHex(raw);
--- a/bench-adapter/src/main/java/calicovale/adapter/WireException.java
+++ b/bench-adapter/src/main/java/calicovale/adapter/WireException.java
@@ -1,7 +1,9 @@
 package calicovale.adapter;
 
+import calicovale.host.BadValueException;
+
 /** Input that breaks the wire's form; the message says what is wrong and quotes the line. */
-final class WireException extends Exception {
+final class WireException extends BadValueException {
     private static final long serialVersionUID = 1L;
     private static final int QUOTED = 300;
 
--- a/cli/src/test/java/calicovale/cli/ArrowsTest.java
+++ b/cli/src/test/java/calicovale/cli/ArrowsTest.java
@@ -21,26 +21,31 @@
         layeredArchitecture().consideringOnlyDependenciesInAnyPackage("calicovale..")
                 .layer("controller").definedBy("calicovale")
                 .layer("protocols").definedBy("calicovale.protocols..")
+                .layer("host").definedBy("calicovale.host..")
+                .layer("manager").definedBy("calicovale.manager..")
                 .layer("front").definedBy("calicovale.front..")
                 .layer("stitch").definedBy("calicovale.stitch..")
                 .layer("gossip").definedBy("calicovale.gossip..")
                 .layer("standin").definedBy("calicovale.standin..")
                 .layer("rehearsal").definedBy("calicovale.rehearsal..")
                 .layer("cli").definedBy("calicovale.cli..")
-                .whereLayer("controller").mayOnlyBeAccessedByLayers("front", "rehearsal", "cli")
+                .whereLayer("controller").mayOnlyBeAccessedByLayers("host", "manager", "front", "rehearsal", "cli")
                 .whereLayer("controller").mayNotAccessAnyLayer()
                 .whereLayer("protocols").mayNotAccessAnyLayer()
-                .whereLayer("front").mayOnlyAccessLayers("controller", "protocols", "stitch", "gossip")
+                .whereLayer("host").mayOnlyAccessLayers("controller")
+                .whereLayer("manager").mayOnlyAccessLayers("controller", "host", "protocols")
+                .whereLayer("front").mayOnlyAccessLayers("controller", "host", "protocols", "stitch", "gossip")
                 .whereLayer("stitch").mayOnlyAccessLayers("protocols")
                 .whereLayer("gossip").mayOnlyAccessLayers("protocols")
                 .whereLayer("standin").mayOnlyAccessLayers("protocols")
-                .whereLayer("rehearsal").mayOnlyAccessLayers("controller", "protocols", "front", "standin", "gossip")
+                .whereLayer("rehearsal").mayOnlyAccessLayers("controller", "host", "protocols", "front", "standin", "gossip")
                 .check(ALL);
     }
 
     @Test
     void whatDecidesHasNoInputAndOutput() {
-        noClasses().that().resideInAnyPackage("calicovale", "calicovale.front.time", "calicovale.front.playlist",
+        noClasses().that().resideInAnyPackage("calicovale", "calicovale.host", "calicovale.manager.sessions", "calicovale.protocols.signal",
+                "calicovale.front.time", "calicovale.front.playlist",
                 "calicovale.gossip.member", "calicovale.gossip.claims", "calicovale.gossip.wire", "calicovale.gossip.sim",
                 "calicovale.rehearsal.judge").should().dependOnClassesThat()
                 .resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..", "calicovale.protocols.net..")
@@ -49,16 +54,25 @@
 
     @Test
     void insideTheFrontTheBoxAndDirectorySidesDoNotKnowPlayers() {
-        noClasses().that().resideInAnyPackage("calicovale.front.box", "calicovale.front.directory", "calicovale.front.host", "calicovale.front.ledger", "calicovale.front.peers",
+        noClasses().that().resideInAnyPackage("calicovale.front.box", "calicovale.front.directory", "calicovale.front.ledger", "calicovale.front.peers",
                 "calicovale.front.stream", "calicovale.front.time", "calicovale.front.playlist").should().dependOnClassesThat()
                 .resideInAPackage("calicovale.front.player").check(ALL);
     }
 
+    @Test
+    void insideTheManagerTheServersAndTheBusDoNotKnowViewers() {
+        noClasses().that().resideInAnyPackage("calicovale.manager.servers", "calicovale.manager.bus", "calicovale.manager.config",
+                "calicovale.manager.sessions").should().dependOnClassesThat()
+                .resideInAPackage("calicovale.manager.viewers").check(ALL);
+    }
+
     @Test
     void protocolsDoNotKnowEachOther() {
         classes().that().resideInAPackage("calicovale.protocols.hls").should().onlyDependOnClassesThat()
                 .resideInAnyPackage("calicovale.protocols.hls", "java..").check(ALL);
+        classes().that().resideInAPackage("calicovale.protocols.signal").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("calicovale.protocols.signal", "java..").check(ALL);
         noClasses().that().resideInAPackage("calicovale.protocols.net").should().dependOnClassesThat()
-                .resideInAnyPackage("calicovale.protocols.http", "calicovale.protocols.hls").check(ALL);
+                .resideInAnyPackage("calicovale.protocols.http", "calicovale.protocols.hls", "calicovale.protocols.signal").check(ALL);
     }
 }
--- a/front/src/main/java/calicovale/front/FrontProcess.java
+++ b/front/src/main/java/calicovale/front/FrontProcess.java
@@ -1,13 +1,13 @@
 package calicovale.front;
 
 import calicovale.front.directory.DirectoryLink;
-import calicovale.front.host.FrontCounters;
+import calicovale.host.Counters;
 import calicovale.front.ledger.LedgerDesk;
 import calicovale.front.operators.ChangeDesk;
 import calicovale.front.peers.PeerNews;
 import calicovale.front.player.SessionManager;
 import calicovale.front.settings.FrontSettings;
-import calicovale.front.time.Backoff;
+import calicovale.host.Backoff;
 import calicovale.front.time.CommonClock;
 import calicovale.protocols.http.Exchange;
 import calicovale.protocols.http.HttpClient;
@@ -37,7 +37,7 @@
     private final FrontSettings settings;
     private final SessionManager manager;
     private final HttpServer server;
-    private final FrontCounters counters = new FrontCounters();
+    private final Counters counters = new Counters();
     private final CommonClock common;
     private final ChangeBook book;
     private final LedgerDesk ledger;
@@ -190,7 +190,7 @@
     }
 
     /** The counters; to be touched on the loop only. */
-    public FrontCounters counters() {
+    public Counters counters() {
         return counters;
     }
 
--- a/front/src/main/java/calicovale/front/box/BoxLink.java
+++ b/front/src/main/java/calicovale/front/box/BoxLink.java
@@ -1,9 +1,9 @@
 package calicovale.front.box;
 
-import calicovale.front.host.FrontCounters;
+import calicovale.host.Counters;
 import calicovale.front.settings.FrontSettings.Times;
 import calicovale.front.stream.HeldStream;
-import calicovale.front.time.Backoff;
+import calicovale.host.Backoff;
 import calicovale.protocols.http.Headers;
 import calicovale.protocols.http.HttpClient;
 import calicovale.protocols.http.HttpClient.Failure;
@@ -71,14 +71,14 @@
     private final HeldStream news;
     private final String manager;
     private final Listener listener;
-    private final FrontCounters counters;
+    private final Counters counters;
     private InetSocketAddress address;
     private String incarnation;
     private double brokenAt = -1;
 
     /** {@code manager} names this manager's process to the box. */
     public BoxLink(long id, InetSocketAddress address, EventLoop loop, HttpClient client, Times times, Backoff backoff,
-            String manager, FrontCounters counters, Listener listener) {
+            String manager, Counters counters, Listener listener) {
         this.id = id;
         this.address = address;
         this.loop = loop;
--- a/front/src/main/java/calicovale/front/directory/DirectoryLink.java
+++ b/front/src/main/java/calicovale/front/directory/DirectoryLink.java
@@ -4,10 +4,10 @@
 import calicovale.ControllerApi.ServerEntry;
 import calicovale.ControllerApi.ServerList;
 import calicovale.ControllerApi.ServerState;
-import calicovale.front.host.FrontCounters;
+import calicovale.host.Counters;
 import calicovale.front.settings.FrontSettings.Times;
 import calicovale.front.stream.HeldStream;
-import calicovale.front.time.Backoff;
+import calicovale.host.Backoff;
 import calicovale.front.time.CommonClock;
 import calicovale.protocols.http.Headers;
 import calicovale.protocols.http.HttpClient;
@@ -58,7 +58,7 @@
     private final Times times;
     private final HeldStream stream;
     private final CommonClock common;
-    private final FrontCounters counters;
+    private final Counters counters;
     private final Listener listener;
     private final TreeMap<Long, JsonNode> known = new TreeMap<>();
     private final ThreadPoolExecutor writer;
@@ -69,7 +69,7 @@
 
     /** {@code saved} may be null. */
     public DirectoryLink(EventLoop loop, HttpClient client, InetSocketAddress address, Path saved, int mostBoxes,
-            Times times, Backoff backoff, CommonClock common, FrontCounters counters, Listener listener) {
+            Times times, Backoff backoff, CommonClock common, Counters counters, Listener listener) {
         this.loop = loop;
         this.client = client;
         this.address = address;
--- a/front/src/main/java/calicovale/front/ledger/LedgerDesk.java
+++ b/front/src/main/java/calicovale/front/ledger/LedgerDesk.java
@@ -1,6 +1,6 @@
 package calicovale.front.ledger;
 
-import calicovale.front.host.FrontCounters;
+import calicovale.host.Counters;
 import calicovale.protocols.net.EventLoop;
 import calicovale.stitch.SessionLedger;
 import calicovale.stitch.SessionLedger.Entry;
@@ -49,7 +49,7 @@
     private final EventLoop loop;
     private final Supplier<Set<String>> changes;
     private final DoubleSupplier nowMs;
-    private final FrontCounters counters;
+    private final Counters counters;
     private final SessionLedger ledger;
     private final ExecutorService disk;
     private volatile DiskFault fault = DiskFault.NONE;
@@ -69,7 +69,7 @@
      * @param aliveEveryMs between two notes that this process still runs
      */
     public LedgerDesk(EventLoop loop, Path folder, Supplier<Set<String>> changes, DoubleSupplier nowMs, double aliveEveryMs,
-            FrontCounters counters) throws IOException {
+            Counters counters) throws IOException {
         this.loop = loop;
         this.changes = changes;
         this.nowMs = nowMs;
--- a/front/src/main/java/calicovale/front/operators/ChangeDesk.java
+++ b/front/src/main/java/calicovale/front/operators/ChangeDesk.java
@@ -1,6 +1,6 @@
 package calicovale.front.operators;
 
-import calicovale.front.host.FrontCounters;
+import calicovale.host.Counters;
 import calicovale.front.settings.FrontSettings;
 import calicovale.protocols.http.Exchange;
 import calicovale.protocols.http.Headers;
@@ -48,7 +48,7 @@
     private final FrontSettings settings;
     private final Runnable changed;
     private final Function<String, ObjectNode> tally;
-    private final FrontCounters counters;
+    private final Counters counters;
     private final ThreadPoolExecutor disk;
     private final ChangeStore store;
     private final FolderWatch watch;
@@ -63,7 +63,7 @@
      * @param tally how a change fared with this manager's sessions
      */
     public ChangeDesk(EventLoop loop, ChangeBook book, DoubleSupplier nowMs, FrontSettings settings, Runnable changed,
-            Function<String, ObjectNode> tally, FrontCounters counters) throws IOException {
+            Function<String, ObjectNode> tally, Counters counters) throws IOException {
         this.loop = loop;
         this.nowMs = nowMs;
         this.book = book;
--- a/front/src/main/java/calicovale/front/peers/PeerNews.java
+++ b/front/src/main/java/calicovale/front/peers/PeerNews.java
@@ -6,7 +6,7 @@
 import calicovale.ControllerApi.NoteKind;
 import calicovale.ControllerApi.Started;
 import calicovale.ControllerApi.Suspected;
-import calicovale.front.host.ControllerHost;
+import calicovale.host.ControllerHost;
 import calicovale.front.settings.FrontSettings;
 import calicovale.gossip.claims.Claim;
 import calicovale.gossip.net.GossipNode;
--- a/front/src/main/java/calicovale/front/player/BoxNews.java
+++ b/front/src/main/java/calicovale/front/player/BoxNews.java
@@ -5,10 +5,10 @@
 import calicovale.ControllerApi.Outcome;
 import calicovale.ControllerApi.ServerList;
 import calicovale.front.box.BoxLink;
-import calicovale.front.host.ControllerHost;
-import calicovale.front.host.FrontCounters;
+import calicovale.host.ControllerHost;
+import calicovale.host.Counters;
 import calicovale.front.settings.FrontSettings;
-import calicovale.front.time.Backoff;
+import calicovale.host.Backoff;
 import calicovale.protocols.http.HttpClient;
 import calicovale.protocols.net.EventLoop;
 import java.net.InetSocketAddress;
@@ -27,7 +27,7 @@
     private final FrontSettings settings;
     private final RandomGenerator random;
     private final HttpClient client;
-    private final FrontCounters counters;
+    private final Counters counters;
     private final SessionTable table;
     private final String incarnation;
     private final Map<Long, BoxLink> boxes = new TreeMap<>();
@@ -35,7 +35,7 @@
     private Programme programme;
     private SetUps setUps;
 
-    BoxNews(EventLoop loop, FrontSettings settings, RandomGenerator random, HttpClient client, FrontCounters counters,
+    BoxNews(EventLoop loop, FrontSettings settings, RandomGenerator random, HttpClient client, Counters counters,
             SessionTable table, String incarnation) {
         this.loop = loop;
         this.settings = settings;
--- a/front/src/main/java/calicovale/front/player/PieceHolders.java
+++ b/front/src/main/java/calicovale/front/player/PieceHolders.java
@@ -1,7 +1,7 @@
 package calicovale.front.player;
 
 import calicovale.front.box.BoxLink;
-import calicovale.front.host.FrontCounters;
+import calicovale.host.Counters;
 import calicovale.protocols.hls.HlsException;
 import calicovale.protocols.net.EventLoop;
 import java.util.ArrayList;
@@ -34,11 +34,11 @@
     private final SourceCache sources;
     private final int most;
     private final double holdMs;
-    private final FrontCounters counters;
+    private final Counters counters;
     private final LinkedHashMap<Key, Known> known = new LinkedHashMap<>(16, 0.75f, true);
 
     /** {@code most} answers are kept, each for {@code holdMs}. */
-    PieceHolders(EventLoop loop, SourceCache sources, int most, double holdMs, FrontCounters counters) {
+    PieceHolders(EventLoop loop, SourceCache sources, int most, double holdMs, Counters counters) {
         this.loop = loop;
         this.sources = sources;
         this.most = most;
--- a/front/src/main/java/calicovale/front/player/PieceSetUps.java
+++ b/front/src/main/java/calicovale/front/player/PieceSetUps.java
@@ -3,8 +3,8 @@
 import calicovale.ControllerApi.Note;
 import calicovale.ControllerApi.NoteKind;
 import calicovale.ControllerApi.Outcome;
-import calicovale.front.host.ControllerHost;
-import calicovale.front.host.FrontCounters;
+import calicovale.host.ControllerHost;
+import calicovale.host.Counters;
 import calicovale.front.playlist.SessionPlaylist;
 import calicovale.front.settings.FrontSettings;
 import calicovale.front.settings.FrontSettings.Holders;
@@ -16,12 +16,12 @@
 final class PieceSetUps implements Programme.Sessions {
     private final EventLoop loop;
     private final FrontSettings settings;
-    private final FrontCounters counters;
+    private final Counters counters;
     private final SessionTable table;
     private final SetUps setUps;
     private final ControllerHost host;
 
-    PieceSetUps(EventLoop loop, FrontSettings settings, FrontCounters counters, SessionTable table, SetUps setUps,
+    PieceSetUps(EventLoop loop, FrontSettings settings, Counters counters, SessionTable table, SetUps setUps,
             ControllerHost host) {
         this.loop = loop;
         this.settings = settings;
--- a/front/src/main/java/calicovale/front/player/PlayerAnswers.java
+++ b/front/src/main/java/calicovale/front/player/PlayerAnswers.java
@@ -1,6 +1,6 @@
 package calicovale.front.player;
 
-import calicovale.front.host.FrontCounters;
+import calicovale.host.Counters;
 import calicovale.front.settings.FrontSettings;
 import calicovale.protocols.http.Exchange;
 import calicovale.protocols.http.Headers;
@@ -10,9 +10,9 @@
 final class PlayerAnswers {
     static final String HLS = "application/vnd.apple.mpegurl";
     private final FrontSettings settings;
-    private final FrontCounters counters;
+    private final Counters counters;
 
-    PlayerAnswers(FrontSettings settings, FrontCounters counters) {
+    PlayerAnswers(FrontSettings settings, Counters counters) {
         this.settings = settings;
         this.counters = counters;
     }
--- a/front/src/main/java/calicovale/front/player/Programme.java
+++ b/front/src/main/java/calicovale/front/player/Programme.java
@@ -2,7 +2,7 @@
 
 import calicovale.ControllerApi.SessionClass;
 import calicovale.front.box.BoxLink;
-import calicovale.front.host.FrontCounters;
+import calicovale.host.Counters;
 import calicovale.front.ledger.LedgerDesk;
 import calicovale.front.playlist.Piece;
 import calicovale.front.playlist.Source;
@@ -87,7 +87,7 @@
     private final PieceHolders holders;
     private final LedgerDesk ledger;
     private final DoubleSupplier commonMs;
-    private final FrontCounters counters;
+    private final Counters counters;
     private final Sessions sessions;
     private final ShownCookie cookie;
     private final Map<String, Tally> tallies = new HashMap<>();
@@ -98,7 +98,7 @@
 
     /** {@code commonMs} is the common time. */
     Programme(EventLoop loop, FrontSettings settings, ChangeBook book, SourceCache sources, LedgerDesk ledger,
-            DoubleSupplier commonMs, FrontCounters counters, Sessions sessions) {
+            DoubleSupplier commonMs, Counters counters, Sessions sessions) {
         this.loop = loop;
         this.settings = settings;
         this.book = book;
--- a/front/src/main/java/calicovale/front/player/Reloads.java
+++ b/front/src/main/java/calicovale/front/player/Reloads.java
@@ -1,6 +1,6 @@
 package calicovale.front.player;
 
-import calicovale.front.host.FrontCounters;
+import calicovale.host.Counters;
 import calicovale.front.playlist.Piece;
 import calicovale.front.playlist.Source;
 import calicovale.front.settings.FrontSettings;
@@ -20,7 +20,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Reloads.class);
     private final EventLoop loop;
     private final FrontSettings settings;
-    private final FrontCounters counters;
+    private final Counters counters;
     private final SessionTable table;
     private final PlayerAnswers answers;
     private final SourceCache sources;
@@ -30,7 +30,7 @@
     /** Every playlist is written into it: the loop owns it, and one is written at a time. */
     private final StringBuilder text = new StringBuilder(4096);
 
-    Reloads(EventLoop loop, FrontSettings settings, FrontCounters counters, SessionTable table, PlayerAnswers answers,
+    Reloads(EventLoop loop, FrontSettings settings, Counters counters, SessionTable table, PlayerAnswers answers,
             SourceCache sources, SessionKeeper keeper, Programme programme, SetUps setUps) {
         this.loop = loop;
         this.settings = settings;
--- a/front/src/main/java/calicovale/front/player/SessionKeeper.java
+++ b/front/src/main/java/calicovale/front/player/SessionKeeper.java
@@ -1,6 +1,6 @@
 package calicovale.front.player;
 
-import calicovale.front.host.FrontCounters;
+import calicovale.host.Counters;
 import calicovale.front.ledger.LedgerDesk;
 import calicovale.front.playlist.SessionPlaylist;
 import calicovale.front.playlist.Source;
@@ -25,12 +25,12 @@
     private final FrontSettings settings;
     private final LedgerDesk ledger;
     private final DoubleSupplier commonMs;
-    private final FrontCounters counters;
+    private final Counters counters;
     private final Map<String, Entry> found = new HashMap<>();
     private final double foundAliveMs;
 
     /** Takes what the ledger found. */
-    SessionKeeper(EventLoop loop, FrontSettings settings, LedgerDesk ledger, DoubleSupplier commonMs, FrontCounters counters) {
+    SessionKeeper(EventLoop loop, FrontSettings settings, LedgerDesk ledger, DoubleSupplier commonMs, Counters counters) {
         this.loop = loop;
         this.settings = settings;
         this.ledger = ledger;
--- a/front/src/main/java/calicovale/front/player/SessionManager.java
+++ b/front/src/main/java/calicovale/front/player/SessionManager.java
@@ -1,8 +1,8 @@
 package calicovale.front.player;
 
 import calicovale.ControllerApi.ServerList;
-import calicovale.front.host.ControllerHost;
-import calicovale.front.host.FrontCounters;
+import calicovale.host.ControllerHost;
+import calicovale.host.Counters;
 import calicovale.front.ledger.LedgerDesk;
 import calicovale.front.playlist.SessionPlaylist;
 import calicovale.front.settings.FrontSettings;
@@ -32,7 +32,7 @@
 
     private final EventLoop loop;
     private final FrontSettings settings;
-    private final FrontCounters counters;
+    private final Counters counters;
     private final ControllerHost host;
     private final SessionTable table;
     private final PlayerAnswers answers;
@@ -44,7 +44,7 @@
 
     /** {@code incarnation} names this process among all that had its number. */
     public SessionManager(EventLoop loop, FrontSettings settings, CommonClock common, RandomGenerator random,
-            HttpClient client, ChangeBook changes, LedgerDesk ledger, FrontCounters counters, String incarnation) {
+            HttpClient client, ChangeBook changes, LedgerDesk ledger, Counters counters, String incarnation) {
         this.loop = loop;
         this.settings = settings;
         this.counters = counters;
@@ -53,7 +53,8 @@
         answers = new PlayerAnswers(settings, counters);
         boxes = new BoxNews(loop, settings, random, client, counters, table, incarnation);
         setUps = new SetUps(loop, settings, counters, table, answers, boxes::box, incarnation);
-        host = new ControllerHost(loop, common, settings.controller(), settings.seed(), setUps);
+        host = new ControllerHost(() -> common.at(loop.clock().nanos() / 1e6), loop.clock()::nanos, loop::schedule,
+                settings.controller(), settings.seed(), setUps);
         SessionKeeper keeper = new SessionKeeper(loop, settings, ledger, host::nowMs, counters);
         programme = new Programme(loop, settings, changes, sources, ledger, host::nowMs, counters,
                 new PieceSetUps(loop, settings, counters, table, setUps, host));
--- a/front/src/main/java/calicovale/front/player/SetUps.java
+++ b/front/src/main/java/calicovale/front/player/SetUps.java
@@ -6,8 +6,8 @@
 import calicovale.ControllerApi.Request;
 import calicovale.ControllerApi.Started;
 import calicovale.front.box.BoxLink;
-import calicovale.front.host.ControllerHost;
-import calicovale.front.host.FrontCounters;
+import calicovale.host.ControllerHost;
+import calicovale.host.Counters;
 import calicovale.front.settings.FrontSettings;
 import calicovale.front.settings.FrontSettings.Holders;
 import calicovale.protocols.http.Exchange;
@@ -35,7 +35,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(SetUps.class);
     private final EventLoop loop;
     private final FrontSettings settings;
-    private final FrontCounters counters;
+    private final Counters counters;
     private final SessionTable table;
     private final PlayerAnswers answers;
     private final LongFunction<BoxLink> boxes;
@@ -46,7 +46,7 @@
     private long requests;
 
     /** {@code boxes} gives the link of a box by its number, null for one that is not listed. */
-    SetUps(EventLoop loop, FrontSettings settings, FrontCounters counters, SessionTable table, PlayerAnswers answers,
+    SetUps(EventLoop loop, FrontSettings settings, Counters counters, SessionTable table, PlayerAnswers answers,
             LongFunction<BoxLink> boxes, String incarnation) {
         this.loop = loop;
         this.settings = settings;
--- a/front/src/main/java/calicovale/front/player/SourceCache.java
+++ b/front/src/main/java/calicovale/front/player/SourceCache.java
@@ -1,7 +1,7 @@
 package calicovale.front.player;
 
 import calicovale.front.box.BoxLink;
-import calicovale.front.host.FrontCounters;
+import calicovale.host.Counters;
 import calicovale.front.playlist.Source;
 import calicovale.protocols.hls.HlsException;
 import java.nio.charset.StandardCharsets;
@@ -19,14 +19,14 @@
 final class SourceCache {
     private static final Logger LOG = LoggerFactory.getLogger(SourceCache.class);
     private final int most;
-    private final FrontCounters counters;
+    private final Counters counters;
     private final int rungs;
     /** By title, the least used first; each with a place for every rung. */
     private final LinkedHashMap<String, Source[]> kept = new LinkedHashMap<>(16, 0.75f, true);
     private final Map<String, List<Runnable>> fetching = new HashMap<>();
     private int count;
 
-    SourceCache(int most, int rungs, FrontCounters counters) {
+    SourceCache(int most, int rungs, Counters counters) {
         this.most = most;
         this.rungs = rungs;
         this.counters = counters;
--- a/front/src/main/java/calicovale/front/stream/HeldStream.java
+++ b/front/src/main/java/calicovale/front/stream/HeldStream.java
@@ -1,7 +1,7 @@
 package calicovale.front.stream;
 
-import calicovale.front.host.FrontCounters;
-import calicovale.front.time.Backoff;
+import calicovale.host.Counters;
+import calicovale.host.Backoff;
 import calicovale.protocols.http.EventStream;
 import calicovale.protocols.http.Headers;
 import calicovale.protocols.http.HttpClient;
@@ -41,7 +41,7 @@
     private final int eventBytes;
     private final double silentMs;
     private final Backoff backoff;
-    private final FrontCounters counters;
+    private final Counters counters;
     private final Listener listener;
     private boolean wanted;
     private HttpClient.Call call;
@@ -57,7 +57,7 @@
      * @param silentMs without a byte after which the stream counts as dead
      */
     public HeldStream(EventLoop loop, HttpClient client, Supplier<InetSocketAddress> address, String name, String target,
-            int eventBytes, double silentMs, Backoff backoff, FrontCounters counters, Listener listener) {
+            int eventBytes, double silentMs, Backoff backoff, Counters counters, Listener listener) {
         this.loop = loop;
         this.client = client;
         this.address = address;
--- a/front/src/test/java/calicovale/front/CommonClockTest.java
+++ b/front/src/test/java/calicovale/front/CommonClockTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import calicovale.front.time.Backoff;
+import calicovale.host.Backoff;
 import calicovale.front.time.CommonClock;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
--- a/front/src/main/java/calicovale/front/time/Backoff.java
+++ b/host/src/main/java/calicovale/host/Backoff.java
@@ -1,4 +1,4 @@
-package calicovale.front.time;
+package calicovale.host;
 
 import java.util.random.RandomGenerator;
 
--- a/front/src/main/java/calicovale/front/host/ControllerHost.java
+++ b/host/src/main/java/calicovale/host/ControllerHost.java
@@ -1,33 +1,40 @@
-package calicovale.front.host;
+package calicovale.host;
 
 import calicovale.ControllerApi.Actions;
 import calicovale.ControllerApi.Event;
 import calicovale.ControllerApi.TimerFired;
 import calicovale.SessionController;
 import calicovale.ControllerApi.Settings;
-import calicovale.front.time.CommonClock;
-import calicovale.protocols.net.EventLoop;
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 
 /**
  * Owns the one controller of this process: it is given one event at a time, in order, each at the common time of its
  * handling; events raised while one is handled wait for its end.
  */
 public final class ControllerHost {
-    private final EventLoop loop;
-    private final CommonClock common;
+    private final DoubleSupplier now;
+    private final LongSupplier nanos;
     private final ArrayDeque<Event> waiting = new ArrayDeque<>();
     private final SessionController controller;
     private boolean handling;
     private LongConsumer decisionNanos = nanos -> { };
     private Consumer<Event> witness = event -> { };
 
-    /** Starts the controller; {@code carrier} carries its actions out. */
-    public ControllerHost(EventLoop loop, CommonClock common, Settings settings, long seed, Carrier carrier) {
-        this.loop = loop;
-        this.common = common;
+    /**
+     * Starts the controller; {@code carrier} carries its actions out.
+     *
+     * @param now the common time, in ms
+     * @param nanos a monotonic clock, by which decisions are timed
+     * @param scheduler calls back on the thread that owns this host
+     */
+    public ControllerHost(DoubleSupplier now, LongSupplier nanos, Scheduler scheduler, Settings settings, long seed,
+            Carrier carrier) {
+        this.now = now;
+        this.nanos = nanos;
         handling = true;
         controller = new SessionController(settings, seed, nowMs(), new Actions() {
             @Override
@@ -77,7 +84,7 @@
 
             @Override
             public void timer(double delayMs, String name) {
-                loop.schedule(delayMs, () -> raise(new TimerFired(name)));
+                scheduler.schedule(delayMs, () -> raise(new TimerFired(name)));
             }
 
             @Override
@@ -88,6 +95,13 @@
         handling = false;
     }
 
+    /** Calls back after a time. */
+    @FunctionalInterface
+    public interface Scheduler {
+        /** Calls {@code body} once, after {@code delayMs}. */
+        void schedule(double delayMs, Runnable body);
+    }
+
     /** What carries the actions out; see {@link Actions}. None of these may wait. */
     public interface Carrier {
         /** Sets a session up. */
@@ -114,7 +128,7 @@
 
     /** The common time now, in ms. */
     public double nowMs() {
-        return common.at(loop.clock().nanos() / 1e6);
+        return now.getAsDouble();
     }
 
     /** Hears how long each event took to decide, in ns. */
@@ -137,9 +151,9 @@
         try {
             Event next;
             while ((next = waiting.pollFirst()) != null) {
-                long from = loop.clock().nanos();
+                long from = nanos.getAsLong();
                 controller.handle(nowMs(), next);
-                decisionNanos.accept(loop.clock().nanos() - from);
+                decisionNanos.accept(nanos.getAsLong() - from);
                 witness.accept(next);
             }
         } finally {
--- a/front/src/main/java/calicovale/front/host/FrontCounters.java
+++ b/host/src/main/java/calicovale/host/Counters.java
@@ -1,10 +1,10 @@
-package calicovale.front.host;
+package calicovale.host;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** What one session manager has counted since its start; written by its loop's thread only. */
-public final class FrontCounters {
+public final class Counters {
     private final Map<String, long[]> counts = new LinkedHashMap<>();
 
     /** Adds one. */
--- a/bench-adapter/src/main/java/calicovale/adapter/WireSettings.java
+++ b/host/src/main/java/calicovale/host/PlatformSettings.java
@@ -1,4 +1,4 @@
-package calicovale.adapter;
+package calicovale.host;
 
 import calicovale.ControllerApi.Effect;
 import calicovale.ControllerApi.Group;
@@ -12,13 +12,32 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Reads the settings of a NEW_INSTANCE line. */
-final class WireSettings {
+/**
+ * The settings of a platform as it states them, by one table of names for the simulator's wire and for JSON files.
+ *
+ * @param controller what the controller is told
+ * @param classes names of the classes of session, in the settings' order
+ * @param zones names of the zones
+ * @param kinds names of the kinds of server
+ * @param connectTimeoutMs a connection that does not stand within this time has failed
+ * @param connIdleMs servers close connections that were idle for so long
+ * @param mostHeld sessions that one manager may hold
+ */
+public record PlatformSettings(Settings controller, List<String> classes, List<String> zones, List<String> kinds,
+        double connectTimeoutMs, double connIdleMs, int mostHeld) {
 
-    private WireSettings() {
+    /** Reads all of them; a fault is told to {@code f}. */
+    public static PlatformSettings read(Values f) throws BadValueException {
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < f.integer("profiles.count", 0); i++) {
+            names.add(f.text("profiles." + i + ".name", ""));
+        }
+        return new PlatformSettings(controller(f), List.copyOf(names), List.of(f.list("dcs")), List.of(f.list("kinds")),
+                f.number("limits.connectTimeoutMs", 0), f.number("limits.connIdleMs", 0), f.integer("limits.mostHeld", 0));
     }
 
-    static Settings read(Fields f) throws WireException {
+    /** What the controller is told. */
+    public static Settings controller(Values f) throws BadValueException {
         List<SessionClass> classes = classes(f);
         List<Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < f.integer("parties.count", 0); i++) {
@@ -46,7 +65,7 @@
                 f.number("scoringMix.worstClass", 0), f.number("costs.moves", 0), f.number("costs.crossZone", 0), f.number("costs.probe", 0));
     }
 
-    private static List<SessionClass> classes(Fields f) throws WireException {
+    private static List<SessionClass> classes(Values f) throws BadValueException {
         double[] lowest = f.numbers("specifics.lowestRung");
         double[] highest = f.numbers("specifics.highestRung");
         double[] scale = f.numbers("specifics.scaleByClass");
@@ -66,7 +85,7 @@
         return result;
     }
 
-    private static ReportMode reports(Fields f) throws WireException {
+    private static ReportMode reports(Values f) throws BadValueException {
         return ReportMode.values()[choice(f, "report.how", "silent", "piggyback", "pull", "silent")];
     }
 
@@ -82,14 +101,14 @@
         return List.copyOf(result);
     }
 
-    private static int choice(Fields f, String key, String absent, String... words) throws WireException {
+    private static int choice(Values f, String key, String absent, String... words) throws BadValueException {
         String value = f.text(key, absent);
         for (int i = 0; i < words.length; i++) {
             if (words[i].equals(value)) {
                 return i;
             }
         }
-        throw new WireException("'" + key + "' is '" + value + "', not one of " + String.join(", ", words),
-                f.line());
+        f.fault("'" + key + "' is '" + value + "', not one of " + String.join(", ", words));
+        return 0;
     }
 }
--- /dev/null
+++ b/manager/src/main/java/calicovale/manager/ManagerMain.java
@@ -0,0 +1,47 @@
+package calicovale.manager;
+
+import calicovale.manager.config.ManagerConfig;
+import calicovale.protocols.json.InvalidDocumentException;
+import calicovale.protocols.net.Clock;
+import java.io.IOException;
+import java.nio.file.Path;
+
+/**
+ * Runs one session manager in the foreground: its configuration is the file that {@code PROXY_CONFIG} names. SIGHUP has the file
+ * read again, SIGTERM drains.
+ */
+public final class ManagerMain {
+    /** The variable that names the configuration. */
+    public static final String CONFIG = "PROXY_CONFIG";
+    private static final int BAD_INPUT = 2;
+
+    private ManagerMain() {
+    }
+
+    /** Runs until a drain has ended and gives the exit status. */
+    public static int run(Path file) throws IOException, InterruptedException {
+        ManagerConfig config;
+        try {
+            config = ManagerConfig.read(file);
+        } catch (InvalidDocumentException e) {
+            e.faults().forEach(System.err::println);
+            return BAD_INPUT;
+        }
+        try (ManagerProcess process = new ManagerProcess(config, Clock.system())) {
+            Signals.on("HUP", () -> process.reload(file));
+            Signals.on("TERM", process::drain);
+            process.await();
+        }
+        return 0;
+    }
+
+    /** Takes no arguments. */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        String file = System.getenv(CONFIG);
+        if (file == null) {
+            System.err.println(CONFIG + ": the path of a configuration is expected");
+            System.exit(BAD_INPUT);
+        }
+        System.exit(run(Path.of(file)));
+    }
+}
--- /dev/null
+++ b/manager/src/main/java/calicovale/manager/bus/EventBus.java
@@ -0,0 +1,190 @@
+package calicovale.manager.bus;
+
+import calicovale.host.BadValueException;
+import calicovale.host.Backoff;
+import calicovale.manager.LimitedLog;
+import calicovale.protocols.net.Connection;
+import calicovale.protocols.net.EventLoop;
+import calicovale.protocols.net.Timer;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * Owns the link to the event bus. Each event is told once and in order, whatever the bus writes twice, breaks off or keeps to
+ * itself: after a break, a silence, a gap or a line that cannot be read it asks again, from the last event that it has.
+ */
+public final class EventBus {
+    /** Bytes of one line: a list of some thousands of servers. */
+    private static final int MOST_LINE = 1 << 21;
+    /** Ms without a line after which the bus has stopped: it writes one a second, and what it holds back counts as told after 4 s. */
+    private static final double SILENT_MS = 2100;
+    /** Ms for a connection to stand. */
+    private static final double CONNECT_MS = 400;
+    /** Ms between the first two tries, and the longest between later ones. */
+    private static final double FIRST_MS = 20;
+    private static final double MOST_MS = 500;
+
+    private final EventLoop loop;
+    private final LimitedLog log;
+    private final Consumer<BusEvent> listener;
+    private final Backoff backoff;
+    private InetSocketAddress address;
+    private Link link;
+    private Timer again;
+    private long last;
+    private boolean closed;
+
+    /** {@code last} is the number of the last event that is known. */
+    public EventBus(EventLoop loop, RandomGenerator random, LimitedLog log, InetSocketAddress address, long last,
+            Consumer<BusEvent> listener) {
+        this.loop = loop;
+        this.log = log;
+        this.address = address;
+        this.last = last;
+        this.listener = listener;
+        backoff = new Backoff(FIRST_MS, MOST_MS, random);
+    }
+
+    /** Connects; to be called on the loop. */
+    public void open() {
+        connect();
+    }
+
+    /** The bus is elsewhere now; the numbers go on. */
+    public void moveTo(InetSocketAddress next) {
+        if (next.equals(address)) {
+            return;
+        }
+        address = next;
+        backoff.reset();
+        drop();
+        connect();
+    }
+
+    /** The number of the last event that it told. */
+    public long last() {
+        return last;
+    }
+
+    /** Ends it. */
+    public void close() {
+        closed = true;
+        drop();
+    }
+
+    private void drop() {
+        if (again != null) {
+            again.cancel();
+            again = null;
+        }
+        Link old = link;
+        link = null;
+        if (old != null) {
+            old.connection.close();
+        }
+    }
+
+    private void connect() {
+        if (again != null) {
+            again.cancel();
+            again = null;
+        }
+        if (!closed) {
+            link = new Link();
+            link.connection = loop.connect(address, "bus", CONNECT_MS, link);
+            link.watch();
+        }
+    }
+
+    private void askAgain(String kind, Object why) {
+        log.say(kind, why);
+        drop();
+        again = loop.schedule(backoff.nextMs(), this::connect);
+    }
+
+    private final class Link implements Connection.Handler {
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private Connection connection;
+        private Timer silence;
+        private boolean heard;
+
+        private void watch() {
+            if (silence != null) {
+                silence.cancel();
+            }
+            silence = loop.schedule(SILENT_MS, () -> {
+                if (link == this) {
+                    askAgain("bus.silent", "nothing for " + (long) SILENT_MS + " ms");
+                }
+            });
+        }
+
+        @Override
+        public void onOpen(Connection c) {
+            c.write(ByteBuffer.wrap(("from " + last + "\n").getBytes(StandardCharsets.US_ASCII)));
+        }
+
+        @Override
+        public void onBytes(Connection c, ByteBuffer bytes) {
+            while (bytes.hasRemaining() && link == this) {
+                byte b = bytes.get();
+                if (b != '\n') {
+                    line.write(b);
+                    if (line.size() > MOST_LINE) {
+                        askAgain("bus.bad-line", "a line of more than " + MOST_LINE + " bytes");
+                    }
+                    continue;
+                }
+                String text = line.toString(StandardCharsets.UTF_8).trim();
+                line.reset();
+                if (!text.isEmpty()) {
+                    watch();
+                    take(text);
+                }
+            }
+            bytes.position(bytes.limit());
+        }
+
+        private void take(String text) {
+            try {
+                if (text.charAt(0) != '{') {
+                    long number = Long.parseLong(text);
+                    if (number > last) {
+                        askAgain("bus.gap", "the last event is " + number + ", here it is " + last);
+                    } else {
+                        backoff.reset();
+                    }
+                    heard = true;
+                    return;
+                }
+                BusEvent event = BusEvent.read(text);
+                // a gap right after asking is the bus's own numbering: asking again would bring the same
+                if (event.offset() > last + 1 && heard) {
+                    askAgain("bus.gap", "event " + event.offset() + " after " + last);
+                } else if (event.offset() > last) {
+                    heard = true;
+                    last = event.offset();
+                    backoff.reset();
+                    listener.accept(event);
+                } else {
+                    log.count("bus.twice");
+                }
+            } catch (NumberFormatException | BadValueException e) {
+                askAgain("bus.bad-line", e.getMessage());
+            }
+        }
+
+        @Override
+        public void onClosed(Connection c, IOException cause) {
+            silence.cancel();
+            if (link == this) {
+                askAgain("bus.broke", cause == null ? "closed" : cause.getMessage());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerDesk.java
@@ -0,0 +1,278 @@
+package calicovale.manager.viewers;
+
+import calicovale.manager.LimitedLog;
+import calicovale.manager.sessions.Session;
+import calicovale.manager.sessions.Session.State;
+import calicovale.manager.sessions.SessionTable;
+import calicovale.protocols.net.Connection;
+import calicovale.protocols.net.EventLoop;
+import calicovale.protocols.signal.Cause;
+import calicovale.protocols.signal.Message;
+import calicovale.protocols.signal.MessageType;
+import calicovale.protocols.signal.Parameter;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Owns the viewers' side: who may connect and stay, and that each set-up that could be read gets one answer. What cannot be read
+ * is answered with an error by the protocol, or a close, and nobody else notices.
+ */
+public final class ViewerDesk {
+    /** Ms between looks at connections that say nothing. */
+    private static final double SWEEP_MS = 200;
+    /** Ms for which a release waits for a connection to be sent on; it is due after 8 s. */
+    private static final double RELEASE_WAITS_MS = 7000;
+    /** Releases that wait at most. */
+    private static final int RELEASES = 4096;
+
+    /** Hears what viewers want. */
+    public interface Listener {
+        /** A session is wanted. */
+        void asked(Session s, Request request);
+
+        /** A session plays at a server already. */
+        void handedOver(long id, Session.Origin origin, Request request, String server);
+
+        /** A viewer gave a set-up up. */
+        void departed(Session s);
+
+        /** A viewer ended a session that stands. */
+        void left(Session s);
+    }
+
+    /**
+     * What a set-up says beside the session.
+     *
+     * @param classIndex the class's place in the settings
+     */
+    public record Request(int classIndex, String title, String viewer, double giveUpMs, int home, int copies, int top,
+            boolean retry, boolean again) {
+    }
+
+    private record Waiting(Message message, double untilMs) {
+    }
+
+    private final EventLoop loop;
+    private final ViewerSettings settings;
+    private final SessionTable table;
+    private final LimitedLog log;
+    private final Listener listener;
+    private final Set<ViewerLink> links = new LinkedHashSet<>();
+    private final ArrayDeque<Waiting> releases = new ArrayDeque<>();
+    private ViewerLink lastUseful;
+    private EventLoop.Listener socket;
+
+    /** Listens once {@link #open} is called. */
+    public ViewerDesk(EventLoop loop, ViewerSettings settings, SessionTable table, LimitedLog log, Listener listener) {
+        this.loop = loop;
+        this.settings = settings;
+        this.table = table;
+        this.log = log;
+        this.listener = listener;
+    }
+
+    double nowMs() {
+        return loop.clock().millis();
+    }
+
+    /** Listens; to be called on the loop. */
+    public InetSocketAddress open(InetSocketAddress address) throws IOException {
+        socket = loop.listen(address, "viewer", this::accept);
+        loop.schedule(SWEEP_MS, this::sweep);
+        return socket.address();
+    }
+
+    /** Connections held. */
+    public int links() {
+        return links.size();
+    }
+
+    private Connection.Handler accept(Connection c) {
+        if (links.size() >= settings.mostLinks() && !freeOne()) {
+            log.say("viewer.refused-connection", links.size() + " connections are held");
+            return null;
+        }
+        ViewerLink link = new ViewerLink(this, c, nowMs());
+        links.add(link);
+        return link;
+    }
+
+    /** Closes the connection that is worth least: one that never said anything of use, else the one idle for longest. */
+    private boolean freeOne() {
+        ViewerLink least = null;
+        for (ViewerLink link : links) {
+            if (link.owed.isEmpty() && (least == null || least.useful && !link.useful
+                    || least.useful == link.useful && link.usedAtMs < least.usedAtMs)) {
+                least = link;
+            }
+        }
+        if (least != null) {
+            log.count("viewer.evicted");
+            least.connection.close();
+        }
+        return least != null;
+    }
+
+    // --- What comes in ---
+
+    void take(ViewerLink link, Message m) {
+        switch (m.type()) {
+            case MessageType.IAM -> setUp(link, m);
+            case MessageType.REL -> release(link, m);
+            case MessageType.UPT -> {
+                useful(link);
+                link.send(Message.of(MessageType.UPA, m.session()).with(Parameter.CAUSE, new byte[] {Cause.PASSED}));
+            }
+            case MessageType.RLC, MessageType.ACM -> log.count("viewer.heard");
+            default -> error(link, m.session(), Cause.TYPE_UNKNOWN, "a message of type " + m.type());
+        }
+    }
+
+    private void useful(ViewerLink link) {
+        link.useful = true;
+        lastUseful = link;
+        sendWaiting(link);
+    }
+
+    private void setUp(ViewerLink link, Message m) {
+        SetUp setUp = SetUp.read(m, settings);
+        if (setUp.fault() != 0) {
+            error(link, m.session(), setUp.fault(), setUp.why());
+            return;
+        }
+        Session held = table.get(m.session());
+        double now = nowMs();
+        Request request = new Request(setUp.classIndex(), setUp.title(), setUp.viewer(), now + setUp.waitMs(), setUp.home(),
+                setUp.copies(), setUp.top(), setUp.retry(), setUp.again());
+        if (setUp.at() != null) {
+            useful(link);
+            if (held == null && !table.full()) {
+                listener.handedOver(m.session(), link, request, setUp.at());
+            }
+            return;
+        }
+        if (held != null) {
+            twice(link, held);
+            return;
+        }
+        useful(link);
+        if (table.full()) {
+            log.say("viewer.table-full", table.size() + " sessions are held");
+            link.send(Message.release(m.session(), Cause.CONGESTION));
+            return;
+        }
+        Session s = table.ask(m.session(), link, settings.classes().get(setUp.classIndex()), setUp.title(), setUp.description(),
+                request.giveUpMs());
+        link.owed.add(s);
+        listener.asked(s, request);
+    }
+
+    /** One number for two set-ups: on one connection neither can be answered apart from the other, so both are over. */
+    private void twice(ViewerLink link, Session held) {
+        log.say("viewer.id-in-use", held);
+        if (held.origin() == link && link.owed.contains(held)) {
+            held.depart();
+            link.owed.remove(held);
+            listener.departed(held);
+        }
+        link.send(Message.release(held.id(), Cause.INVALID_REFERENCE));
+    }
+
+    private void release(ViewerLink link, Message m) {
+        Session s = table.get(m.session());
+        link.send(Message.of(MessageType.RLC, m.session()));
+        if (s == null) {
+            log.count("viewer.release-of-none");
+        } else if (s.state() == State.STANDING) {
+            listener.left(s);
+        } else if (s.origin() == link && !s.departed()) {
+            link.owed.remove(s);
+            s.depart();
+            listener.departed(s);
+        }
+    }
+
+    private void error(ViewerLink link, long session, int cause, String why) {
+        log.say("viewer.error", why);
+        link.send(Message.release(session, cause));
+    }
+
+    void unreadable(ViewerLink link, String why) {
+        log.say("viewer.unreadable", why);
+        link.send(Message.release(0, Cause.PROTOCOL_ERROR));
+        link.connection.closeWhenDrained();
+    }
+
+    void closed(ViewerLink link) {
+        links.remove(link);
+        if (lastUseful == link) {
+            lastUseful = null;
+            for (ViewerLink other : links) {
+                lastUseful = other.useful && (lastUseful == null || other.usedAtMs > lastUseful.usedAtMs) ? other : lastUseful;
+            }
+        }
+        for (Session s : List.copyOf(link.owed)) {
+            link.owed.remove(s);
+            s.depart();
+            listener.departed(s);
+        }
+    }
+
+    // --- What goes out ---
+
+    /** The one answer of a set-up; without effect where none is owed any more. */
+    public boolean answer(Session s, Message message) {
+        ViewerLink link = (ViewerLink) s.origin();
+        if (!link.owed.remove(s)) {
+            return false;
+        }
+        link.usedAtMs = nowMs();
+        link.send(message);
+        return true;
+    }
+
+    /** Tells the viewer of a session that stood, on the connection it came by or any other of use, now or when there is one. */
+    public void tell(Session s, Message message) {
+        ViewerLink link = (ViewerLink) s.origin();
+        if (link == null || link.connection.isClosed()) {
+            link = lastUseful;
+        }
+        if (link != null) {
+            link.send(message);
+        } else if (releases.size() < RELEASES) {
+            releases.add(new Waiting(message, nowMs() + RELEASE_WAITS_MS));
+        } else {
+            log.say("viewer.release-dropped", s);
+        }
+    }
+
+    private void sendWaiting(ViewerLink link) {
+        double now = nowMs();
+        while (!releases.isEmpty()) {
+            Waiting waiting = releases.poll();
+            if (waiting.untilMs() > now) {
+                link.send(waiting.message());
+            } else {
+                log.count("viewer.release-too-late");
+            }
+        }
+    }
+
+    private void sweep() {
+        loop.schedule(SWEEP_MS, this::sweep);
+        double now = nowMs();
+        for (ViewerLink link : new ArrayList<>(links)) {
+            boolean mute = !link.useful && now - link.openedAtMs > settings.speakMs();
+            boolean half = link.partialSinceMs > 0 && now - link.partialSinceMs > settings.speakMs() && link.owed.isEmpty();
+            if (mute || half) {
+                log.count(mute ? "viewer.mute" : "viewer.half");
+                link.connection.close();
+            }
+        }
+    }
+}
