Handed-over set-ups have no bound on their wait; the bus's last number may be an object

Observed: 939 handed-over sessions were released while they stood; 60 bus.bad-line in 28 s. Checked: the log names a wait of 4294967 ms in set-ups that play already, and the bus's number line is an object with 'offset' alone. At fault: SetUp.read bounded every wait by the class's; EventBus took every object for an event.

--- a/manager/src/main/java/calicovale/manager/bus/BusEvent.java
+++ b/manager/src/main/java/calicovale/manager/bus/BusEvent.java
@@ -31,15 +31,30 @@
             double weight, double startedAtMs) {
     }
 
-    /** Reads one from its line. */
-    public static BusEvent read(String line) throws BadValueException {
+    /** Reads one from its line; null: the line holds the last number alone. */
+    public static BusEvent readLine(String line) throws BadValueException {
         try {
-            return read(Documents.MAPPER.readTree(line));
+            JsonNode node = Documents.MAPPER.readTree(line);
+            return node.has("topology") ? read(node) : null;
         } catch (JsonProcessingException e) {
             throw new BadValueException("an event that is no JSON: " + e.getOriginalMessage());
         }
     }
 
+    /** The number that a line holds, whatever else it has. */
+    static long number(String line) throws BadValueException {
+        try {
+            JsonNode node = Documents.MAPPER.readTree(line);
+            JsonNode offset = node.isObject() ? node.path("offset") : node;
+            if (offset.canConvertToLong()) {
+                return offset.asLong();
+            }
+        } catch (JsonProcessingException e) {
+            // told below
+        }
+        throw new BadValueException("a line without a number");
+    }
+
     /** Reads one. */
     public static BusEvent read(JsonNode node) throws BadValueException {
         JsonNode topology = node.path("topology");
--- a/manager/src/main/java/calicovale/manager/bus/EventBus.java
+++ b/manager/src/main/java/calicovale/manager/bus/EventBus.java
@@ -152,8 +152,9 @@
 
         private void take(String text) {
             try {
-                if (text.charAt(0) != '{') {
-                    long number = Long.parseLong(text);
+                BusEvent event = BusEvent.readLine(text);
+                if (event == null) {
+                    long number = BusEvent.number(text);
                     if (number > last) {
                         askAgain("bus.gap", "the last event is " + number + ", here it is " + last);
                     } else {
@@ -162,7 +163,6 @@
                     heard = true;
                     return;
                 }
-                BusEvent event = BusEvent.read(text);
                 // a gap right after asking is the bus's own numbering: asking again would bring the same
                 if (event.offset() > last + 1 && heard) {
                     askAgain("bus.gap", "event " + event.offset() + " after " + last);
@@ -174,7 +174,7 @@
                 } else {
                     log.count("bus.twice");
                 }
-            } catch (NumberFormatException | BadValueException e) {
+            } catch (BadValueException e) {
                 askAgain("bus.bad-line", e.getMessage());
             }
         }
--- a/manager/src/main/java/calicovale/manager/viewers/SetUp.java
+++ b/manager/src/main/java/calicovale/manager/viewers/SetUp.java
@@ -44,10 +44,6 @@
         if (!name(title)) {
             return bad(Cause.INVALID_CONTENTS, "a title that is no name");
         }
-        int waitMs = whole(wait);
-        if (waitMs < 1 || waitMs > settings.mostWaitMs().get(index)) {
-            return bad(Cause.INVALID_CONTENTS, "a wait of '" + shown(wait) + "'");
-        }
         String retry = m.text(Parameter.RETRY);
         if (m.has(Parameter.RETRY) && !"1".equals(retry)) {
             return bad(Cause.INVALID_CONTENTS, "a retry of '" + shown(retry) + "'");
@@ -63,6 +59,12 @@
                 return bad(Cause.INVALID_CONTENTS, "figures such as '" + shown(part) + "'");
             }
         }
+        String at = extras.get("at");
+        int waitMs = whole(wait);
+        // who is answered already waits for nothing
+        if (waitMs < 1 || at == null && waitMs > settings.mostWaitMs().get(index)) {
+            return bad(Cause.INVALID_CONTENTS, "a wait of '" + shown(wait) + "'");
+        }
         int home = whole(extras.getOrDefault("home", "0"));
         int copies = whole(extras.getOrDefault("copies", String.valueOf(Integer.MAX_VALUE / 2)));
         int top = whole(extras.getOrDefault("top", String.valueOf(settings.rungs() - 1)));
@@ -74,7 +76,7 @@
             return bad(Cause.INVALID_CONTENTS, "a viewer of " + viewer.length() + " characters");
         }
         return new SetUp(0, null, index, title, m.value(Parameter.DESCRIPTION), waitMs, m.has(Parameter.RETRY),
-                "1".equals(extras.get("again")), home, copies, top, viewer, extras.get("at"));
+                "1".equals(extras.get("again")), home, copies, top, viewer, at);
     }
 
     private static boolean name(String text) {
