--- a/manager/src/main/java/calicovale/manager/sessions/SessionTable.java
+++ b/manager/src/main/java/calicovale/manager/sessions/SessionTable.java
@@ -90,7 +90,9 @@
 
     /** It is held no more, whatever its state. */
     public void over(Session s) {
-        if (s.state == State.STANDING) {
+        State was = s.state;
+        go(s, was, State.OVER);
+        if (was == State.STANDING) {
             Set<Session> there = standing.get(s.server);
             there.remove(s);
             if (there.isEmpty()) {
@@ -98,7 +100,6 @@
             }
         }
         held.remove(s.id());
-        go(s, s.state, State.OVER);
     }
 
     private void go(Session s, State from, State to) {
--- /dev/null
+++ b/manager/src/test/java/calicovale/manager/config/ManagerConfigTest.java
@@ -0,0 +1,51 @@
+package calicovale.manager.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import calicovale.protocols.json.InvalidDocumentException;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ManagerConfigTest {
+    private static final String GOOD = """
+            {"name":"n3","listen":"127.0.0.1:3868","seed":"8c1f30d27a5be964","limits":{"memory_mb":128,"sockets":256},"bus":"127.0.0.1:9092",
+             "known":{"offset":3,"batch":[{"offset":3,"topology":{"generation":2,"reset":true,"instances":[
+               {"instanceId":"s-1","hostPort":"127.0.0.1:1","lifecycle":"terminating","cell":4,"weight":2.5,"startedAtMs":17}]}}]},
+             "settings":{"me":1,"replicasOfMe":3,"profiles":[{"name":"talk","gain":2.0,"effect":"token","deadlineMs":1500}],
+               "limits":{"retryAfter":true,"maxRetryAfterMs":900,"connectTimeoutMs":250},"dcs":["a","b"],
+               "specifics":{"levelKb":[1,2],"ladderWorth":[0.5,1],"kindStreams":[7],"lowestRung":[1],"seeMs":384.7}}}""";
+
+    @Test
+    void readsAllThatIsStated() throws InvalidDocumentException {
+        ManagerConfig config = ManagerConfig.read("config", GOOD);
+        assertEquals(0x8c1f30d27a5be964L, config.seed());
+        assertEquals(256, config.sockets());
+        assertEquals(3, config.knownOffset());
+        assertEquals(17, config.known().get(0).entries().get(0).startedAtMs());
+        assertEquals(List.of("a", "b"), config.platform().zones());
+        assertEquals(List.of("talk"), config.platform().classes());
+        var settings = config.platform().controller();
+        assertEquals(1, settings.self());
+        assertEquals(3, settings.controllers());
+        assertEquals(900, settings.limits().retryAfterMs());
+        assertEquals(List.of(1.0, 2.0), settings.media().rungKb());
+        assertEquals(384.7, settings.media().noteDelayMs());
+        assertEquals(1, settings.classes().get(0).lowestRung());
+        assertEquals(calicovale.ControllerApi.Effect.TOKEN, settings.classes().get(0).effect());
+    }
+
+    @Test
+    void tellsEveryFaultAtOnce() {
+        String bad = GOOD.replace("127.0.0.1:3868", "host:3868").replace("\"sockets\":256", "\"sockets\":-1")
+                .replace("8c1f", "xyz").replace("\"gain\":2.0", "\"gain\":\"much\"").replace("terminating", "gone")
+                .replace("token", "half");
+        InvalidDocumentException e = assertThrows(InvalidDocumentException.class, () -> ManagerConfig.read("config", bad));
+        assertEquals(6, e.faults().size(), e.faults().toString());
+    }
+
+    @Test
+    void whatIsNoJsonIsSaidSo() {
+        assertThrows(InvalidDocumentException.class, () -> ManagerConfig.read("config", "{"));
+    }
+}
