An error counts against a server once its request plays elsewhere, not before

Checked: a probe logged each attempt that ended in an error with its request: all were bad clients' set-ups that no server can use, each refused by four servers in turn; excluded: lateness (p99 120 ms), links, CPU (0.31 of a core), memory. At fault: SessionController.onEnded judged each error at once, so 200 bad requests kept most of the fleet suspended, and reprice counts no suspended server's link. Change: the error of a request is held in doubt until the request plays elsewhere or is tried no more; a second error clears both servers. Also: ViewerDesk closes a connection after 8 faults that outnumber what it sent of use.

--- a/controller/src/main/java/calicovale/SessionController.java
+++ b/controller/src/main/java/calicovale/SessionController.java
@@ -205,6 +205,7 @@
     /** The final answer, at once: a refusal where that is harmless, else a failure. */
     private void answer(Session s) {
         sessions.remove(s.request.id());
+        if (s.doubted != null) judge(s.doubted, Outcome.ERROR);
         boolean harmless = !s.mayHaveRun || s.k.effect() == Effect.PURE
                 || s.k.effect() == Effect.TOKEN && s.k.group() == Group.ALL;
         double after = RETRY_MS * (1 + random.nextDouble());
@@ -217,6 +218,7 @@
         if (s == null || s.server == null) return;
         s.playing = true;
         s.startedAt = now;
+        if (s.doubted != null) judge(s.doubted, Outcome.ERROR);
         s.server.out--;
         s.server.strikes = Math.max(0, s.server.strikes - 1);
         double usual = setupMs < 0 ? e.elapsedMs() / 2 : setupMs, gain = setupMs < 0 ? 1 : 0.1;
@@ -246,7 +248,8 @@
         if (known) s.server = null;
         if (h != null) {
             report(h, e.load());
-            judge(h, e.outcome());
+            if (known && !s.playing && e.outcome() == Outcome.ERROR) doubt(s, h);
+            else judge(h, e.outcome());
         }
         if (!known) return;
         if (!e.outcome().provesUnrun() && !s.mayHaveRun) {
@@ -761,6 +764,16 @@
         }
     }
 
+    /**
+     * An error is the server's fault once the same request plays elsewhere, or is tried no more. Against
+     * requests that no server can use, which would have the whole fleet suspended; it also keeps apart one
+     * viewer's spoilt title. It hurts where one request meets two failing servers: the next one tells.
+     */
+    private void doubt(Session s, Server h) {
+        s.doubted = s.erred ? null : h;
+        s.erred = true;
+    }
+
     private void strike(Server h) {
         if (now > h.struckAt) {
             h.struckAt = now;
@@ -886,10 +899,10 @@
         final int c;
         final SessionClass k;
         final Set<Long> tried = new HashSet<>();
-        Server server, tokenServer;
+        Server server, tokenServer, doubted;
         double tokenAt, sentAt, startedAt, changedAt = NEVER;
         int attempts, rung;
-        boolean rungSent, playing, mayHaveRun, departed;
+        boolean rungSent, playing, mayHaveRun, departed, erred;
 
         Session(Request request) {
             this.request = request;
--- a/controller/src/test/java/calicovale/SessionControllerTest.java
+++ b/controller/src/test/java/calicovale/SessionControllerTest.java
@@ -539,4 +539,34 @@
         assertThrows(IllegalArgumentException.class, () -> rig.controller.handle(rig.now, rig.demand("a", 0, 0)));
         assertThrows(IllegalArgumentException.class, () -> rig.controller.handle(rig.now, null));
     }
+
+    @Test
+    void aRequestThatFailsEverywhereIsNoServersFault() {
+        Rig rig = new Rig().start().servers(6);
+        rig.request("warm", 0, 0);
+        rig.request("bad", 0, 0);
+        for (int attempt = 0; attempt < 3; attempt++) {
+            assertTrue(rig.out.sent("bad"), "further tries are permitted");
+            rig.ended("bad", Outcome.ERROR);
+        }
+        Set<Long> used = new HashSet<>();
+        for (int i = 0; i < 30; i++) {
+            rig.request("s" + i, 0, 0);
+            used.add(rig.out.server.get("s" + i));
+        }
+        assertEquals(6, used.size(), "none is suspended");
+    }
+
+    @Test
+    void anErrorCountsOnceItsRequestPlaysElsewhere() {
+        Rig rig = new Rig().start().servers(6);
+        rig.request("a", 0, 0);
+        long failing = rig.out.server.get("a");
+        rig.ended("a", Outcome.ERROR);
+        rig.started("a");
+        for (int i = 0; i < 30; i++) {
+            rig.request("s" + i, 0, 0);
+            assertNotEquals(failing, rig.out.server.get("s" + i));
+        }
+    }
 }
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerDesk.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerDesk.java
@@ -27,6 +27,11 @@
     private static final double SWEEP_MS = 200;
     /** Ms for which a release waits for a connection to be sent on; it is due after 8 s. */
     private static final double RELEASE_WAITS_MS = 7000;
+    /**
+     * Faults of the protocol after which a connection is closed, where they outnumber what it sent of use: against a peer that
+     * sends nothing else at full speed; a front that many viewers share is not closed for one of them.
+     */
+    private static final int MOST_FAULTS = 8;
     /** Releases that wait at most. */
     private static final int RELEASES = 4096;
 
@@ -135,6 +140,7 @@
 
     private void useful(ViewerLink link) {
         link.useful = true;
+        link.good++;
         lastUseful = link;
         sendWaiting(link);
     }
@@ -174,13 +180,12 @@
 
     /** One number for two set-ups: on one connection neither can be answered apart from the other, so both are over. */
     private void twice(ViewerLink link, Session held) {
-        log.say("viewer.id-in-use", held);
         if (held.origin() == link && link.owed.contains(held)) {
             held.depart();
             link.owed.remove(held);
             listener.departed(held);
         }
-        link.send(Message.release(held.id(), Cause.INVALID_REFERENCE));
+        error(link, held.id(), Cause.INVALID_REFERENCE, "the id of a session that is held");
     }
 
     private void release(ViewerLink link, Message m) {
@@ -200,6 +205,10 @@
     private void error(ViewerLink link, long session, int cause, String why) {
         log.say("viewer.error", why);
         link.send(Message.release(session, cause));
+        if (++link.faults >= MOST_FAULTS && link.faults > link.good) {
+            log.count("viewer.too-many-faults");
+            link.connection.closeWhenDrained();
+        }
     }
 
     void unreadable(ViewerLink link, String why) {
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
@@ -18,6 +18,9 @@
     final Set<Session> owed = new LinkedHashSet<>();
     /** Whether anything of use has come: a test or a set-up that could be read. */
     boolean useful;
+    /** Messages of use, and faults of the protocol. */
+    int good;
+    int faults;
     double usedAtMs;
     double partialSinceMs;
     private final ViewerDesk desk;
--- a/manager/src/test/java/calicovale/manager/ManagerTest.java
+++ b/manager/src/test/java/calicovale/manager/ManagerTest.java
@@ -187,6 +187,18 @@
         }
     }
 
+    @Test
+    void aConnectionThatBringsFaultsOnlyIsClosed() throws Exception {
+        try (Rig rig = new Rig(1); Peer bad = rig.viewer()) {
+            for (int i = 1; i <= 8; i++) {
+                bad.send(Message.of(77, i));
+                assertEquals(Cause.TYPE_UNKNOWN, bad.next().cause());
+            }
+            assertNull(bad.next());
+            rig.await("viewer.too-many-faults", 1);
+        }
+    }
+
     @Test
     void aNumberInUseIsRefusedToAnotherAndItsOwnerKeepsIt() throws Exception {
         try (Rig rig = new Rig(1); Peer viewer = rig.viewer(); Peer other = rig.viewer()) {
