Releases go on connections that brought standing sessions; drains let sessions play on

Checked and excluded: late, dropped or expired releases (counts), eviction of connections with standing sessions (probe). A probe showed 43 releases sent on connections that had asked once and stayed. At fault: ViewerDesk.tell and its lastUseful; ManagerProcess.look ended a drain 0.7 s after SIGTERM with 568 sessions standing. Change: releases only on connections that carried a session which stood, or later; eviction by the same sign; a drain ends when nothing is held.

--- a/manager/src/main/java/calicovale/manager/ManagerProcess.java
+++ b/manager/src/main/java/calicovale/manager/ManagerProcess.java
@@ -22,8 +22,8 @@
     private static final double COUNTS_MS = 10_000;
     /** Ms for which requests still come after a drain has begun. */
     private static final double STILL_COME_MS = 700;
-    /** Longest wait for open set-ups in a drain, in ms. */
-    private static final double MOST_DRAIN_MS = 3000;
+    /** Longest drain, in ms, for sessions that stand: they play on until the platform ends the process. */
+    private static final double MOST_DRAIN_MS = 600_000;
     /** Ms between looks at a drain. */
     private static final double DRAIN_LOOK_MS = 20;
     /** Bounds of the loop: some hundreds of connections, each message 16 KiB at most. */
@@ -85,20 +85,18 @@
         });
     }
 
-    /** Ends the process once nothing more comes and all that came is answered. */
+    /** Ends the process once nothing more comes, all that came is answered and nothing stands. */
     public void drain() {
         loop.execute(() -> {
-            double since = loop.clock().millis();
-            double longest = config.platform().controller().classes().stream().mapToDouble(c -> c.deadlineMs()).max().orElse(0);
             LOG.info("drains");
-            look(since, Math.min(MOST_DRAIN_MS, longest) + STILL_COME_MS);
+            look(loop.clock().millis());
         });
     }
 
-    private void look(double since, double mostMs) {
+    private void look(double since) {
         double passed = loop.clock().millis() - since;
-        if (passed < mostMs && (passed < STILL_COME_MS || manager.owed() > 0)) {
-            loop.schedule(DRAIN_LOOK_MS, () -> look(since, mostMs));
+        if (passed < MOST_DRAIN_MS && (passed < STILL_COME_MS || manager.held() > 0)) {
+            loop.schedule(DRAIN_LOOK_MS, () -> look(since));
             return;
         }
         LOG.info("ends, counts {}", manager.counts());
--- a/manager/src/main/java/calicovale/manager/SessionManager.java
+++ b/manager/src/main/java/calicovale/manager/SessionManager.java
@@ -119,15 +119,15 @@
         host.raise(list);
     }
 
-    /** Set-ups that are owed an answer. */
-    public int owed() {
-        return table.count(State.ASKED) + table.count(State.OUT);
+    /** Sessions that are owed an answer or stand. */
+    public int held() {
+        return table.size();
     }
 
     /** What has been counted, with the present sizes. */
     public Map<String, Long> counts() {
         Map<String, Long> all = counters.all();
-        all.put("held.out", (long) owed());
+        all.put("held.out", (long) table.count(State.ASKED) + table.count(State.OUT));
         all.put("held.standing", (long) table.count(State.STANDING));
         all.put("links.viewers", (long) viewers.links());
         all.put("links.servers", (long) servers.links());
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerDesk.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerDesk.java
@@ -69,7 +69,6 @@
     private final Listener listener;
     private final Set<ViewerLink> links = new LinkedHashSet<>();
     private final ArrayDeque<Waiting> releases = new ArrayDeque<>();
-    private ViewerLink lastUseful;
     private EventLoop.Listener socket;
 
     /** Listens once {@link #open} is called. */
@@ -107,14 +106,13 @@
         return link;
     }
 
-    /** Closes the connection that is worth least: one that never said anything of use, else the one idle for longest. */
+    /** Closes the connection that is worth least: see {@link ViewerLink#worth}; of those alike the one idle for longest. */
     private boolean freeOne() {
         ViewerLink least = null;
         for (ViewerLink link : links) {
-            if (link.owed.isEmpty() && (least == null || least.useful && !link.useful
-                    || least.useful == link.useful && link.usedAtMs < least.usedAtMs)) {
-                least = link;
-            }
+            boolean less = least == null || link.worth() < least.worth()
+                    || link.worth() == least.worth() && link.usedAtMs < least.usedAtMs;
+            least = link.owed.isEmpty() && less ? link : least;
         }
         if (least != null) {
             log.count("viewer.evicted");
@@ -141,7 +139,11 @@
     private void useful(ViewerLink link) {
         link.useful = true;
         link.good++;
-        lastUseful = link;
+    }
+
+    /** A session that stands came by this connection, so it is a viewers' front's. */
+    private void carries(ViewerLink link) {
+        link.carried++;
         sendWaiting(link);
     }
 
@@ -160,6 +162,9 @@
             if (held == null && !table.full()) {
                 listener.handedOver(m.session(), link, request, setUp.at());
             }
+            if (table.get(m.session()) != null) {
+                carries(link);
+            }
             return;
         }
         if (held != null) {
@@ -219,12 +224,6 @@
 
     void closed(ViewerLink link) {
         links.remove(link);
-        if (lastUseful == link) {
-            lastUseful = null;
-            for (ViewerLink other : links) {
-                lastUseful = other.useful && (lastUseful == null || other.usedAtMs > lastUseful.usedAtMs) ? other : lastUseful;
-            }
-        }
         for (Session s : List.copyOf(link.owed)) {
             link.owed.remove(s);
             s.depart();
@@ -242,14 +241,23 @@
         }
         link.usedAtMs = nowMs();
         link.send(message);
+        if (message.type() == MessageType.ANM) {
+            carries(link);
+        }
         return true;
     }
 
-    /** Tells the viewer of a session that stood, on the connection it came by or any other of use, now or when there is one. */
+    /**
+     * Tells the viewer of a session that stood, on the connection it came by, else on another that brought sessions which stand,
+     * now or when there is one. Against connections that only ask and stay: what they are sent reaches no viewer.
+     */
     public void tell(Session s, Message message) {
         ViewerLink link = (ViewerLink) s.origin();
-        if (link == null || link.connection.isClosed()) {
-            link = lastUseful;
+        if (link.connection.isClosed()) {
+            link = null;
+            for (ViewerLink other : links) {
+                link = other.carried > 0 && (link == null || other.usedAtMs > link.usedAtMs) ? other : link;
+            }
         }
         if (link != null) {
             link.send(message);
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
@@ -21,6 +21,8 @@
     /** Messages of use, and faults of the protocol. */
     int good;
     int faults;
+    /** Sessions that stood by this connection. */
+    int carried;
     double usedAtMs;
     double partialSinceMs;
     private final ViewerDesk desk;
@@ -33,6 +35,11 @@
         usedAtMs = nowMs;
     }
 
+    /** 0: it never said anything of use; 1: it asked; 2: what it asked for came to play. */
+    int worth() {
+        return carried > 0 ? 2 : useful ? 1 : 0;
+    }
+
     void send(Message message) {
         connection.write(message.encode());
     }
--- a/manager/src/test/java/calicovale/manager/ManagerTest.java
+++ b/manager/src/test/java/calicovale/manager/ManagerTest.java
@@ -119,9 +119,15 @@
             rig.until(() -> rig.boxes.get(0).peers.size() == 2);
             rig.boxes.get(0).peers.get(1).send(Message.release(1, Cause.NORMAL));
             rig.await("outcome.OK", 1);
-            try (Peer next = rig.viewer()) {
-                next.send(Message.of(MessageType.UPT, 7));
+            try (Peer asks = rig.viewer(); Peer next = rig.viewer()) {
+                // who only asks is not told of others' sessions; whose session stands is
+                asks.send(Message.of(MessageType.UPT, 7));
+                assertEquals(MessageType.UPA, asks.next().type());
+                next.send(Rig.setUp(2));
+                rig.boxes.get(0).serve();
                 assertEquals(1, next.next(MessageType.REL).session());
+                asks.send(Message.of(MessageType.UPT, 8));
+                assertEquals(MessageType.UPA, asks.next().type());
             }
         }
     }
@@ -245,6 +251,26 @@
         }
     }
 
+    @Test
+    void atTheLimitConnectionsThatAskedOnceGiveWayToOnesWhoseSessionsStand() throws Exception {
+        try (Rig rig = new Rig(1, 64); Peer viewer = rig.viewer()) {
+            viewer.send(Rig.setUp(1));
+            Box.Came set = rig.boxes.get(0).serve();
+            assertEquals(MessageType.ANM, viewer.next().type());
+            Peer[] stay = new Peer[40];
+            for (int i = 0; i < stay.length; i++) {
+                stay[i] = rig.viewer();
+                stay[i].send(Message.of(MessageType.UPT, 100 + i));
+            }
+            rig.await("viewer.evicted", 20);
+            set.peer().send(Message.release(1, Cause.NORMAL));
+            assertEquals(Cause.NORMAL, viewer.next().cause());
+            for (Peer peer : stay) {
+                peer.close();
+            }
+        }
+    }
+
     @Test
     void theBusIsAskedAgainAfterABreakASilenceAndAGap() throws Exception {
         try (Rig rig = new Rig(1)) {
@@ -292,8 +318,10 @@
         try (Rig rig = new Rig(1); Peer viewer = rig.viewer()) {
             rig.process.drain();
             viewer.send(Rig.setUp(1));
-            rig.boxes.get(0).serve();
+            Box.Came set = rig.boxes.get(0).serve();
             assertEquals(MessageType.ANM, viewer.next().type());
+            set.peer().send(Message.release(1, Cause.NORMAL));
+            assertEquals(Cause.NORMAL, viewer.next().cause(), "it plays to its end");
             rig.process.await();
         }
     }
