A server that fell silent and refuses connections is gone, whatever links stay open

Checked by a probe of bus events, closed links and deaths; excluded: a new owner of the address, the viewers' side. At fault: ServerPool.closed counted refusals only while no link was open, and tried an unreachable server once a silence.

--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -340,13 +340,15 @@
     /** A session was taken over: the server must have a link to send on. */
     public void attend(long number) {
         VideoServer server = servers.get(number);
-        if (server != null) {
+        if (server != null && server.links.isEmpty()) {
             reach(server);
         }
     }
 
+    /** Opens a link to a server where sessions stand, unless one is being opened. */
     private void reach(VideoServer server) {
-        if (server.links.isEmpty() && server.address != null && table.standingAt(server.number) > 0
+        boolean connecting = server.links.stream().anyMatch(link -> !link.open);
+        if (!connecting && server.address != null && table.standingAt(server.number) > 0
                 && (links < settings.mostLinks() || freeOne())) {
             connect(server);
         }
@@ -487,15 +489,19 @@
         if (table.standingAt(server.number) == 0) {
             return;
         }
-        if (!alive && server.refusals >= REFUSALS && now - server.refusedSinceMs >= REFUSED_MS) {
+        // links that stay open prove nothing once nothing comes on them: a machine that vanished does not close them
+        boolean lost = !alive || now - server.heardAtMs > settings.quietMs();
+        if (lost && server.refusals >= REFUSALS && now - server.refusedSinceMs >= REFUSED_MS) {
             died(server, "its process is gone");
         } else if (server.unreachableSinceMs > 0 && now - server.unreachableSinceMs > UNREACHABLE_MS
                 && now - server.heardAtMs > VANISHED_MS) {
             died(server, "it cannot be reached");
-        } else if (!alive && server.again == null) {
+        } else if (lost && server.again == null) {
             server.again = loop.schedule(failed == null ? 0 : AGAIN_MS, () -> {
                 server.again = null;
-                reach(server);
+                if (!server.anyOpen() || loop.clock().millis() - server.heardAtMs > settings.quietMs()) {
+                    reach(server);
+                }
             });
         }
     }
@@ -526,11 +532,10 @@
                 }
             }
             boolean stands = table.standingAt(server.number) > 0;
-            if (stands && now - Math.max(server.heardAtMs, server.lookedAtMs) > settings.quietMs() && server.address != null
-                    && (links < settings.mostLinks() || freeOne())) {
+            if (stands && now - Math.max(server.heardAtMs, server.lookedAtMs) > settings.quietMs()) {
                 server.lookedAtMs = now;
                 log.count("server.looked-at");
-                connect(server);
+                reach(server);
             } else if (stands && server.links.isEmpty() && server.again == null) {
                 reach(server);
             }
--- a/manager/src/test/java/calicovale/manager/ManagerTest.java
+++ b/manager/src/test/java/calicovale/manager/ManagerTest.java
@@ -108,6 +108,35 @@
         }
     }
 
+    @Test
+    void whatStoodAtAServerThatFellSilentAndRefusesIsReleased() throws Exception {
+        try (Rig rig = new Rig(1); Peer viewer = rig.viewer()) {
+            viewer.send(Rig.setUp(1));
+            rig.boxes.get(0).serve();
+            assertEquals(MessageType.ANM, viewer.next().type());
+            // nothing listens any more, and the open link is left open without a word
+            rig.boxes.get(0).listenNoMore();
+            assertEquals(Cause.TEMPORARY_FAILURE, viewer.next().cause());
+        }
+    }
+
+    @Test
+    void aServerThatListensNoMoreButSpeaksKeepsItsSessions() throws Exception {
+        try (Rig rig = new Rig(1); Peer viewer = rig.viewer()) {
+            viewer.send(Rig.setUp(1));
+            Box.Came set = rig.boxes.get(0).serve();
+            assertEquals(MessageType.ANM, viewer.next().type());
+            rig.boxes.get(0).listenNoMore();
+            for (int i = 0; i < 30; i++) {
+                set.peer().send(Message.of(MessageType.CPG, 1).with(Parameter.NOTE, "nic").with(Parameter.VALUE, "0.5"));
+                rig.await("note.LINK_USE", i + 1);
+                Thread.sleep(100);
+            }
+            set.peer().send(Message.release(1, Cause.NORMAL));
+            assertEquals(Cause.NORMAL, viewer.next().cause());
+        }
+    }
+
     @Test
     void whatStandsOutlivesItsConnectionsOnBothSides() throws Exception {
         try (Rig rig = new Rig(1); Peer viewer = rig.viewer()) {
--- a/manager/src/test/java/calicovale/manager/Rig.java
+++ b/manager/src/test/java/calicovale/manager/Rig.java
@@ -242,6 +242,11 @@
             return set;
         }
 
+        /** New connections are refused from now on, open ones stay. */
+        void listenNoMore() throws IOException {
+            server.close();
+        }
+
         /** Stops listening and resets all connections, as a killed process does. */
         void die() throws IOException {
             server.close();
