--- a/controller/src/main/java/calicovale/SessionController.java
+++ b/controller/src/main/java/calicovale/SessionController.java
@@ -56,6 +56,7 @@
         MOST_RIGHT = 1.5, // most by which notes correct a link against its weight: a third is usual
         LAG = 0.1, // part served behind the whole at which the worst class weighs fully
         TRIAL_MS = 4000, // ms between all managers' trials at a fully suspected server: trouble lasts seconds
+        FORGET_MS = 60_000, // ms after which a server that is gone is forgotten: no list runs so far behind
         ASK_AGAIN_MS = 1500, // ms between calls for the list after a failed one
         TENANT_S = 5; // s over which a tenant's rate is averaged
 
@@ -815,15 +816,32 @@
         }
         if (e.scope() != ListScope.CHANGES)
             for (Server h : servers.values()) h.ready &= named.contains(h.id);
+        forgetGone();
         links = servers.values().stream().filter(h -> h.ready).mapToDouble(h -> h.link).sum();
         meanLink = Math.max(1, links / Math.max(1, servers.values().stream().filter(h -> h.ready).count()));
     }
 
+    /** Against fleets whose servers are replaced all day under new names: they would be held for good. */
+    private void forgetGone() {
+        for (Iterator<Server> all = servers.values().iterator(); all.hasNext();) {
+            Server h = all.next();
+            if (h.ready || !h.listed || !h.sessions.isEmpty()) h.unusedSince = now;
+            if (now - h.unusedSince < FORGET_MS) continue;
+            all.remove();
+            h.rack.servers.remove(h);
+            heardOf.remove(h);
+        }
+    }
+
+    /** How many servers are held, for the host's counts. */
+    public int serversHeld() { return servers.size(); }
+
     private Server server(long id) {
         Server h = servers.get(id);
         if (h == null) {
             h = new Server(id);
             h.link = Math.max(1, media.linkKbPerWeight());
+            h.unusedSince = now;
             servers.put(id, h);
             rackOf(h, 0);
         }
@@ -935,7 +953,7 @@
         int kind, zone, cell, out, strikes;
         double link, ownKb, ownWeight, peerKb, peerStreams = -1, heardAt, shortAt = NEVER;
         double struckAt = NEVER, suspendedUntil = NEVER, suspected;
-        double coldSince = NEVER, lastSent = NEVER, relievedAt = NEVER, toldAt = NEVER;
+        double coldSince = NEVER, lastSent = NEVER, relievedAt = NEVER, toldAt = NEVER, unusedSince;
 
         Server(long id) { this.id = id; }
 
--- a/controller/src/test/java/calicovale/SessionControllerTest.java
+++ b/controller/src/test/java/calicovale/SessionControllerTest.java
@@ -569,4 +569,15 @@
             assertNotEquals(failing, rig.out.server.get("s" + i));
         }
     }
+
+    @Test
+    void serversThatAreGoneAreForgottenOnceNothingPlaysThere() {
+        Rig rig = new Rig().start().servers(2);
+        for (int i = 0; i < 40; i++) {
+            rig.list(ListScope.CHANGES, List.of(new ServerEntry(100 + i, ServerState.READY, 0, 0, 1, 0, 1)));
+            rig.list(ListScope.CHANGES, List.of(new ServerEntry(100 + i, ServerState.GONE, 0, 0, 1, 0, 1)));
+            rig.tick(10_000);
+        }
+        assertTrue(rig.controller.serversHeld() <= 2 + 8, rig.controller.serversHeld() + " are held");
+    }
 }
--- a/host/src/main/java/calicovale/host/ControllerHost.java
+++ b/host/src/main/java/calicovale/host/ControllerHost.java
@@ -131,6 +131,11 @@
         return now.getAsDouble();
     }
 
+    /** How many servers the controller holds. */
+    public int serversHeld() {
+        return controller.serversHeld();
+    }
+
     /** Hears how long each event took to decide, in ns. */
     public void onDecision(LongConsumer listener) {
         decisionNanos = listener;
--- a/manager/src/main/java/calicovale/manager/SessionManager.java
+++ b/manager/src/main/java/calicovale/manager/SessionManager.java
@@ -132,6 +132,7 @@
         all.put("links.viewers", (long) viewers.links());
         all.put("links.servers", (long) servers.links());
         all.put("servers", (long) servers.size());
+        all.put("controller.servers", (long) host.serversHeld());
         return all;
     }
 
