--- a/manager/src/main/java/calicovale/manager/SessionManager.java
+++ b/manager/src/main/java/calicovale/manager/SessionManager.java
@@ -46,6 +46,8 @@
     private static final double SERVERS_PART = 0.35;
     /** Sessions held for each MB of memory: one takes about 1 kB here and in the controller. */
     private static final int SESSIONS_PER_MB = 100;
+    /** Set-ups open at once on one connection: all of 90 a second with a hung server are fewer. */
+    private static final int MOST_OWED = 128;
     /** Ms in which a connection must bring something of use; bad clients are owed an end within 3 s. */
     private static final double SPEAK_MS = 2000;
     /** By how much a viewer's wait may pass its class's: figures beyond it are no waits. */
@@ -80,7 +82,8 @@
         servers = new ServerPool(loop, new ServerSettings(links, platform.connectTimeoutMs() > 0 ? platform.connectTimeoutMs() : 250,
                 platform.connIdleMs() > 0 ? IDLE_PART * platform.connIdleMs() : Double.MAX_VALUE, quiet), platform, table, log,
                 new FromServers());
-        viewers = new ViewerDesk(loop, new ViewerSettings(descriptors - links, SPEAK_MS, platform.classes(),
+        viewers = new ViewerDesk(loop, new ViewerSettings(descriptors - links, MOST_OWED, controller.limits().retryAfterMs(),
+                SPEAK_MS, platform.classes(),
                 controller.classes().stream().map(c -> WAIT_OVER * c.deadlineMs()).toList(), controller.media().cells(),
                 controller.media().rungKb().size()), table, log, new FromViewers());
         host = new ControllerHost(loop.clock()::millis, loop.clock()::nanos, loop::schedule, controller, config.seed(),
--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -368,7 +368,7 @@
                 return null;
             }
             case MessageType.ANM -> {
-                return here && s.state() == State.OUT ? answer(link, s, m) : late(m);
+                return here && s.state() == State.OUT ? answer(link, s, m) : late(link, m, here);
             }
             case MessageType.REL -> {
                 link.send(Message.of(MessageType.RLC, m.session()));
@@ -397,7 +397,7 @@
         Attempt attempt = out.get(s.id());
         byte[] description = m.value(Parameter.DESCRIPTION);
         if (attempt == null || attempt.link != link) {
-            return late(m);
+            return late(link, m, true);
         }
         if (description == null) {
             return "an answer without a description";
@@ -409,8 +409,12 @@
         return null;
     }
 
-    private String late(Message m) {
+    /** An answer that nobody waits for, or once more: where nothing is held here by its number, it is released. */
+    private String late(ServerLink link, Message m, boolean here) {
         log.count("server.answer-of-none");
+        if (!here) {
+            link.send(Message.release(m.session(), Cause.NORMAL));
+        }
         return null;
     }
 
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerDesk.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerDesk.java
@@ -172,9 +172,13 @@
             return;
         }
         useful(link);
-        if (table.full()) {
-            log.say("viewer.table-full", table.size() + " sessions are held");
-            link.send(Message.release(m.session(), Cause.CONGESTION));
+        if (table.full() || link.owed.size() >= settings.mostOwed()) {
+            log.say(table.full() ? "viewer.table-full" : "viewer.too-many-open", table.size() + " sessions are held");
+            Message refusal = Message.release(m.session(), Cause.CONGESTION);
+            if (settings.retryAfterMs() > 0) {
+                refusal.with(Parameter.RETRY_AFTER, String.valueOf((long) settings.retryAfterMs()));
+            }
+            link.send(refusal);
             return;
         }
         Session s = table.ask(m.session(), link, settings.classes().get(setUp.classIndex()), setUp.title(), setUp.description(),
--- a/manager/src/test/java/calicovale/manager/ManagerTest.java
+++ b/manager/src/test/java/calicovale/manager/ManagerTest.java
@@ -78,6 +78,7 @@
             assertEquals(Cause.NORMAL, rig.boxes.get(0).next().message().cause());
             set.peer().send(Message.of(MessageType.ANM, 1).with(Parameter.DESCRIPTION, Rig.GIVEN));
             rig.await("server.answer-of-none", 1);
+            assertEquals(Cause.NORMAL, rig.boxes.get(0).next().message().cause(), "it is released at its server");
             viewer.send(Message.of(MessageType.UPT, 9));
             assertEquals(MessageType.RLC, viewer.next().type());
             assertEquals(MessageType.UPA, viewer.next().type());
@@ -254,6 +255,25 @@
         }
     }
 
+    @Test
+    void setUpsOpenOnOneConnectionAreBounded() throws Exception {
+        try (Rig rig = new Rig(1); Peer flood = rig.viewer(); Peer good = rig.viewer()) {
+            for (int i = 1; i < 2000 && !rig.process.counts().containsKey("viewer.too-many-open"); i++) {
+                flood.send(Rig.setUp(i, "course", "home:0;copies:12;top:2;viewer:00a1"));
+                Thread.sleep(1);
+            }
+            rig.await("viewer.too-many-open", 1);
+            Message refusal = flood.next(MessageType.REL);
+            assertEquals(Cause.CONGESTION, refusal.cause());
+            assertTrue(Integer.parseInt(refusal.text(Parameter.RETRY_AFTER)) > 0);
+            good.send(Rig.setUp(5000));
+            Box.Came came;
+            do {
+                came = rig.boxes.get(0).next();
+            } while (came.message().session() != 5000);
+        }
+    }
+
     @Test
     void connectionsThatSayNothingAreClosed() throws Exception {
         try (Rig rig = new Rig(1); Peer mute = rig.viewer()) {
--- a/manager/src/test/java/calicovale/manager/Rig.java
+++ b/manager/src/test/java/calicovale/manager/Rig.java
@@ -60,7 +60,7 @@
                  "bus":"127.0.0.1:%d","known":{"offset":1,"batch":[{"offset":1,"topology":{"generation":1,"reset":true,"instances":[%s]}}]},
                  "settings":{"me":0,"replicasOfMe":1,"az":0,"dcs":["here"],"kinds":["std"],"discovery":"push",
                   "profiles":[{"name":"talk","aimMs":400,"deadlineMs":2000,"effect":"pure","gain":1.0},
-                              {"name":"course","aimMs":400,"deadlineMs":2000,"effect":"pure","gain":3.0}],
+                              {"name":"course","aimMs":4000,"deadlineMs":2000,"effect":"pure","gain":3.0}],
                   "limits":{"sendCap":4,"retryAfter":true,"maxRetryAfterMs":2000,"cancelling":true,"connectTimeoutMs":250,
                             "connIdleMs":30000,"mostHeld":60000},
                   "report":{"how":"piggyback","fields":["util","x1"]},
