Signals are handled before the manager is heard of; tests that a removed defence fails

Cause: ManagerMain handled SIGHUP and SIGTERM only after the bus had been asked, so a signal right after the start ended the process by the system's default. Change: both are handled first and wait for the start. Tests: a release past a connection that spoke last, a server that refuses new connections and speaks on old ones, two set-ups of one number that the server answers. Less code: one way to end a standing session from here, unused methods removed.

--- a/manager/src/main/java/calicovale/manager/ManagerMain.java
+++ b/manager/src/main/java/calicovale/manager/ManagerMain.java
@@ -5,6 +5,7 @@
 import calicovale.protocols.net.Clock;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * Runs one session manager in the foreground: its configuration is the file that {@code PROXY_CONFIG} names. SIGHUP has the file
@@ -27,9 +28,12 @@
             e.faults().forEach(System.err::println);
             return BAD_INPUT;
         }
+        // handled before anything is heard of this process: a signal that came first would end it
+        CompletableFuture<ManagerProcess> started = new CompletableFuture<>();
+        Signals.on("HUP", () -> started.thenAccept(process -> process.reload(file)));
+        Signals.on("TERM", () -> started.thenAccept(ManagerProcess::drain));
         try (ManagerProcess process = new ManagerProcess(config, Clock.system())) {
-            Signals.on("HUP", () -> process.reload(file));
-            Signals.on("TERM", process::drain);
+            started.complete(process);
             process.await();
         }
         return 0;
--- a/manager/src/main/java/calicovale/manager/SessionManager.java
+++ b/manager/src/main/java/calicovale/manager/SessionManager.java
@@ -149,6 +149,15 @@
         host.raise(new AttemptEnded(s.name(), s.attempt(), server, outcome, elapsedMs, closed, load));
     }
 
+    /** Ends a session that stands from here: at its server, in the table and for the controller. */
+    private void cut(Session s) {
+        long server = s.server();
+        double elapsed = loop.clock().millis() - s.sinceMs();
+        servers.release(s, Cause.NORMAL);
+        table.over(s);
+        attemptEnded(s, server, Outcome.CANCELLED, elapsed, true, Map.of());
+    }
+
     /** What viewers want, told to the controller. */
     private final class FromViewers implements ViewerDesk.Listener {
         @Override
@@ -182,11 +191,7 @@
         @Override
         public void left(Session s) {
             counters.count("left");
-            long server = s.server();
-            double elapsed = loop.clock().millis() - s.sinceMs();
-            servers.release(s, Cause.NORMAL);
-            table.over(s);
-            attemptEnded(s, server, Outcome.CANCELLED, elapsed, true, Map.of());
+            cut(s);
         }
     }
 
@@ -199,17 +204,10 @@
             if (s.state() == State.STANDING && !viewers.answer(s, Message.of(MessageType.ANM, s.id())
                     .with(Parameter.DESCRIPTION, description))) {
                 // its viewer is gone: nobody would ever end it
-                viewersLeft(s);
+                cut(s);
             }
         }
 
-        private void viewersLeft(Session s) {
-            long server = s.server();
-            servers.release(s, Cause.NORMAL);
-            table.over(s);
-            attemptEnded(s, server, Outcome.CANCELLED, 0, true, Map.of());
-        }
-
         @Override
         public void failed(Session s, long server, Outcome outcome, double elapsedMs, Map<String, Double> load) {
             boolean over = s.departed();
@@ -278,12 +276,8 @@
             Session s = held(id);
             if (s != null && s.state() == State.STANDING) {
                 counters.count("moves");
-                long server = s.server();
-                double elapsed = loop.clock().millis() - s.sinceMs();
                 viewers.tell(s, Message.of(MessageType.FAC, s.id()));
-                servers.release(s, Cause.NORMAL);
-                table.over(s);
-                attemptEnded(s, server, Outcome.CANCELLED, elapsed, true, Map.of());
+                cut(s);
             }
         }
 
--- a/manager/src/main/java/calicovale/manager/bus/EventBus.java
+++ b/manager/src/main/java/calicovale/manager/bus/EventBus.java
@@ -37,7 +37,6 @@
     private Link link;
     private Timer again;
     private long last;
-    private boolean closed;
 
     /** {@code last} is the number of the last event that is known. */
     public EventBus(EventLoop loop, RandomGenerator random, LimitedLog log, InetSocketAddress address, long last,
@@ -66,17 +65,6 @@
         connect();
     }
 
-    /** The number of the last event that it told. */
-    public long last() {
-        return last;
-    }
-
-    /** Ends it. */
-    public void close() {
-        closed = true;
-        drop();
-    }
-
     private void drop() {
         if (again != null) {
             again.cancel();
@@ -94,11 +82,9 @@
             again.cancel();
             again = null;
         }
-        if (!closed) {
-            link = new Link();
-            link.connection = loop.connect(address, "bus", CONNECT_MS, link);
-            link.watch();
-        }
+        link = new Link();
+        link.connection = loop.connect(address, "bus", CONNECT_MS, link);
+        link.watch();
     }
 
     private void askAgain(String kind, Object why) {
--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -72,6 +72,7 @@
     private final Listener listener;
     private final ServerNumbers numbers = new ServerNumbers();
     private final Map<Long, VideoServer> servers = new TreeMap<>();
+    private final Map<Long, Attempt> out = new HashMap<>();
     private int links;
 
     /** Starts with no server. */
@@ -168,15 +169,8 @@
         return servers.values().stream().filter(s -> s.name.equals(name)).mapToLong(s -> s.number).findFirst().orElse(-1);
     }
 
-    /** Whether a server is known. */
-    public boolean knows(long number) {
-        return servers.containsKey(number);
-    }
-
     // --- Attempts ---
 
-    private final Map<Long, Attempt> out = new HashMap<>();
-
     /** Sends a set-up; the session is out from now until the listener hears of it. */
     public void attempt(Session s, long number, double timeoutMs) {
         VideoServer server = servers.get(number);
--- a/manager/src/main/java/calicovale/manager/sessions/SessionTable.java
+++ b/manager/src/main/java/calicovale/manager/sessions/SessionTable.java
@@ -2,7 +2,6 @@
 
 import calicovale.manager.sessions.Session.Origin;
 import calicovale.manager.sessions.Session.State;
-import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -121,9 +120,4 @@
     public List<Session> listStandingAt(long server) {
         return List.copyOf(standing.getOrDefault(server, Set.of()));
     }
-
-    /** All that is held, as it is now. */
-    public Collection<Session> all() {
-        return List.copyOf(held.values());
-    }
 }
--- a/manager/src/test/java/calicovale/manager/ManagerTest.java
+++ b/manager/src/test/java/calicovale/manager/ManagerTest.java
@@ -128,13 +128,21 @@
             Box.Came set = rig.boxes.get(0).serve();
             assertEquals(MessageType.ANM, viewer.next().type());
             rig.boxes.get(0).listenNoMore();
+            // one is left open on the only link, so all others need a new one
+            viewer.send(Rig.setUp(2, "course", "home:0;copies:12;top:2;viewer:00a1"));
             for (int i = 0; i < 30; i++) {
+                viewer.send(Rig.setUp(10 + i));
                 set.peer().send(Message.of(MessageType.CPG, 1).with(Parameter.NOTE, "nic").with(Parameter.VALUE, "0.5"));
                 rig.await("note.LINK_USE", i + 1);
-                Thread.sleep(100);
+                Thread.sleep(30);
             }
+            rig.await("server.refused", 4);
             set.peer().send(Message.release(1, Cause.NORMAL));
-            assertEquals(Cause.NORMAL, viewer.next().cause());
+            Message over;
+            do {
+                over = viewer.next();
+            } while (over.session() != 1);
+            assertEquals(Cause.NORMAL, over.cause());
         }
     }
 
@@ -156,12 +164,28 @@
                 next.send(Rig.setUp(2));
                 rig.boxes.get(0).serve();
                 assertEquals(1, next.next(MessageType.REL).session());
-                asks.send(Message.of(MessageType.UPT, 8));
-                assertEquals(MessageType.UPA, asks.next().type());
             }
         }
     }
 
+    @Test
+    void aReleaseGoesByAConnectionThatCarriesThoughAnotherSpokeLast() throws Exception {
+        try (Rig rig = new Rig(1); Peer viewer = rig.viewer(); Peer carries = rig.viewer(); Peer asks = rig.viewer()) {
+            viewer.send(Rig.setUp(1));
+            Box.Came set = rig.boxes.get(0).serve();
+            assertEquals(MessageType.ANM, viewer.next().type());
+            carries.send(Rig.setUp(2));
+            rig.boxes.get(0).serve();
+            assertEquals(MessageType.ANM, carries.next().type());
+            viewer.hangUp();
+            rig.until(() -> rig.process.counts().get("links.viewers") == 2);
+            asks.send(Message.of(MessageType.UPT, 7));
+            assertEquals(MessageType.UPA, asks.next().type());
+            set.peer().send(Message.release(1, Cause.NORMAL));
+            assertEquals(1, carries.next().session());
+        }
+    }
+
     @Test
     void aSpoiltAnswerEndsItsConnectionAndTheAttemptsOnItOnly() throws Exception {
         try (Rig rig = new Rig(2); Peer viewer = rig.viewer()) {
@@ -250,8 +274,14 @@
     @Test
     void twoSetUpsOfOneNumberAreNeverServed() throws Exception {
         try (Rig rig = new Rig(1); Peer viewer = rig.viewer()) {
-            viewer.send(Rig.setUp(1), Rig.setUp(1));
+            viewer.send(Rig.setUp(1));
+            Box.Came set = rig.boxes.get(0).next();
+            viewer.send(Rig.setUp(1));
             assertEquals(Cause.INVALID_REFERENCE, viewer.next().cause());
+            set.peer().send(Message.of(MessageType.ANM, 1).with(Parameter.DESCRIPTION, Rig.GIVEN));
+            rig.await("server.answer-of-none", 1);
+            viewer.send(Message.of(MessageType.UPT, 9));
+            assertEquals(MessageType.UPA, viewer.next().type(), "no answer came before");
         }
     }
 
