The loop reads all that is ready, then takes ends, then decides; a failed open is an outcome

Cause, from reading: in one turn a server's error, a finished connect or a timer could start an attempt while the viewer's close lay readable in another key (EventLoop.turn dispatched key by key); EventLoop.connect threw when no descriptor was left, in the bus's timer for good; ServerPool.overdue and cancel entered ServerPool.closed from their own write and ended the attempt that had just gone out; links to an address that a server had left were used again; a drain ended with answers unwritten and closed over unread input; a hand-over at a server that the list had not told was dropped.

--- a/manager/src/main/java/calicovale/manager/ManagerMain.java
+++ b/manager/src/main/java/calicovale/manager/ManagerMain.java
@@ -14,6 +14,7 @@
 public final class ManagerMain {
     /** The variable that names the configuration. */
     public static final String CONFIG = "PROXY_CONFIG";
+    private static final int FAILED = 1;
     private static final int BAD_INPUT = 2;
 
     private ManagerMain() {
@@ -34,9 +35,8 @@
         Signals.on("TERM", () -> started.thenAccept(ManagerProcess::drain));
         try (ManagerProcess process = new ManagerProcess(config, Clock.system())) {
             started.complete(process);
-            process.await();
+            return process.await() ? 0 : FAILED;
         }
-        return 0;
     }
 
     /** Takes no arguments. */
--- a/manager/src/main/java/calicovale/manager/ManagerProcess.java
+++ b/manager/src/main/java/calicovale/manager/ManagerProcess.java
@@ -7,6 +7,7 @@
 import calicovale.protocols.net.EventLoop;
 import calicovale.protocols.net.LoopLimits;
 import calicovale.protocols.net.Tap;
+import calicovale.protocols.net.Timer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -26,6 +27,11 @@
     private static final double MOST_DRAIN_MS = 600_000;
     /** Ms between looks at a drain. */
     private static final double DRAIN_LOOK_MS = 20;
+    /** Ms for which viewers may read the last answers before the process ends: a close with unread input would undo them. */
+    private static final double LINGER_MS = 300;
+    /** Ms before a configuration that could not be read is read again, doubling, and how often: it may be half written. */
+    private static final double READ_AGAIN_MS = 50;
+    private static final int READS = 7;
     /** Bounds of the loop: some hundreds of connections, each message 16 KiB at most. */
     private static final LoopLimits LIMITS = new LoopLimits(1 << 10, 1 << 16, 1 << 18, 512, 64, 1);
 
@@ -35,11 +41,16 @@
     private SessionManager manager;
     private EventBus bus;
     private InetSocketAddress address;
+    private boolean draining;
+    private volatile boolean drained;
+    private Timer readAgain;
 
     /** Starts a manager; it listens once this returns. */
     public ManagerProcess(ManagerConfig config, Clock clock) throws IOException {
         this.config = config;
         loop = new EventLoop("manager", clock, LIMITS, Tap.NONE).start();
+        // a process that lives and serves nobody is worse than one that is started anew
+        loop.whenEnded(ended::countDown);
         try {
             address = loop.call(this::begin);
         } catch (IllegalStateException e) {
@@ -74,38 +85,62 @@
 
     /** The configuration was replaced: where the event bus is may have changed; all else holds until a restart. */
     public void reload(Path file) {
-        loop.execute(() -> {
-            try {
-                ManagerConfig next = ManagerConfig.read(file);
-                LOG.info("configuration read again, the bus is at {}", next.bus());
-                bus.moveTo(next.bus());
-            } catch (InvalidDocumentException e) {
-                LOG.error("the new configuration is not taken: {}", e.faults());
+        loop.execute(() -> read(file, 0));
+    }
+
+    private void read(Path file, int tries) {
+        if (readAgain != null) {
+            readAgain.cancel();
+            readAgain = null;
+        }
+        try {
+            ManagerConfig next = ManagerConfig.read(file);
+            LOG.info("configuration read again, the bus is at {}", next.bus());
+            bus.moveTo(next.bus());
+        } catch (InvalidDocumentException e) {
+            LOG.error("the new configuration is not taken, the old one stays: {}", e.faults());
+            if (tries < READS) {
+                readAgain = loop.schedule(READ_AGAIN_MS * (1 << tries), () -> read(file, tries + 1));
             }
-        });
+        }
     }
 
     /** Ends the process once nothing more comes, all that came is answered and nothing stands. */
     public void drain() {
         loop.execute(() -> {
-            LOG.info("drains");
-            look(loop.clock().millis());
+            if (!draining) {
+                draining = true;
+                LOG.info("drains");
+                manager.drain(STILL_COME_MS);
+                look(loop.clock().millis());
+            }
         });
     }
 
     private void look(double since) {
         double passed = loop.clock().millis() - since;
-        if (passed < MOST_DRAIN_MS && (passed < STILL_COME_MS || manager.held() > 0)) {
+        if (passed < MOST_DRAIN_MS && (passed < STILL_COME_MS || !manager.quiet())) {
             loop.schedule(DRAIN_LOOK_MS, () -> look(since));
             return;
         }
         LOG.info("ends, counts {}", manager.counts());
-        ended.countDown();
+        manager.finish();
+        linger(loop.clock().millis());
+    }
+
+    private void linger(double since) {
+        if (manager.viewers() > 0 && loop.clock().millis() - since < LINGER_MS) {
+            loop.schedule(DRAIN_LOOK_MS, () -> linger(since));
+        } else {
+            drained = true;
+            ended.countDown();
+        }
     }
 
-    /** Waits for the end of a drain. */
-    public void await() throws InterruptedException {
+    /** Waits for the end of a drain; false if the loop failed, and with it the manager. */
+    public boolean await() throws InterruptedException {
         ended.await();
+        return drained;
     }
 
     @Override
--- a/manager/src/main/java/calicovale/manager/SessionManager.java
+++ b/manager/src/main/java/calicovale/manager/SessionManager.java
@@ -28,8 +28,10 @@
 import calicovale.protocols.signal.Parameter;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -46,6 +48,15 @@
     private static final double SERVERS_PART = 0.35;
     /** Sessions held for each MB of memory: one takes about 1 kB here and in the controller. */
     private static final int SESSIONS_PER_MB = 100;
+    /** Bytes of heap for each session held, garbage included. */
+    private static final long BYTES_PER_SESSION = 4096;
+    /** Sessions handed over at servers that are not known: a bad client can name any. */
+    private static final int MOST_UNLISTED = 512;
+    /** Ends remembered of sessions that are not held. */
+    private static final int ENDED_UNHELD = 1024;
+    /** Most ms that the platform leaves for answers at a drain, after the last set-up, and what is kept in hand of them. */
+    private static final double MOST_ANSWER_MS = 3000;
+    private static final double ANSWER_MARGIN_MS = 200;
     /** Set-ups open at once on one connection: all of 90 a second with a hung server are fewer. */
     private static final int MOST_OWED = 128;
     /** Ms in which a connection must bring something of use; bad clients are owed an end within 3 s. */
@@ -65,6 +76,18 @@
     private final ServerPool servers;
     private final ViewerDesk viewers;
     private final ControllerHost host;
+    private final double longestMs;
+    /** Sessions handed over at servers that the list has not named yet; the controller hears of them once it has. */
+    private final Map<Session, Takeover> unlisted = new LinkedHashMap<>();
+    /** Sessions that ended before they were handed over, by whether their server told so; for a while. */
+    private final Map<Long, Boolean> endedUnheld = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+            return size() > ENDED_UNHELD;
+        }
+    };
 
     /** Makes the manager and tells its controller what is known of servers; to be called on the loop. */
     public SessionManager(EventLoop loop, ManagerConfig config) {
@@ -72,14 +95,16 @@
         LimitedLog log = log(LOG);
         var platform = config.platform();
         var controller = platform.controller();
-        int most = Math.max(1, Math.min(platform.mostHeld() > 0 ? platform.mostHeld() : Integer.MAX_VALUE,
-                SESSIONS_PER_MB * config.memoryMb()));
+        long byHeap = Runtime.getRuntime().maxMemory() / BYTES_PER_SESSION;
+        int most = (int) Math.max(1, Math.min(platform.mostHeld() > 0 ? platform.mostHeld() : Integer.MAX_VALUE,
+                Math.min(byHeap, (long) SESSIONS_PER_MB * config.memoryMb())));
         table = new SessionTable(most);
+        longestMs = Math.min(MOST_ANSWER_MS, controller.classes().stream().mapToDouble(c -> c.deadlineMs()).max().orElse(0));
         int descriptors = Math.max(8, config.sockets() - OWN_DESCRIPTORS);
         int links = (int) (SERVERS_PART * descriptors);
         double told = controller.media().noteEveryMs();
         double quiet = told > 0 ? Math.min(MOST_QUIET_MS, 2 * told + controller.media().noteDelayMs()) : QUIET_MS;
-        servers = new ServerPool(loop, new ServerSettings(links, platform.connectTimeoutMs() > 0 ? platform.connectTimeoutMs() : 250,
+        servers = new ServerPool(loop, new SplittableRandom(config.seed()), new ServerSettings(links, platform.connectTimeoutMs() > 0 ? platform.connectTimeoutMs() : 250,
                 platform.connIdleMs() > 0 ? IDLE_PART * platform.connIdleMs() : Double.MAX_VALUE, quiet), platform, table, log,
                 new FromServers());
         viewers = new ViewerDesk(loop, new ViewerSettings(descriptors - links, MOST_OWED, controller.limits().retryAfterMs(),
@@ -120,6 +145,37 @@
     public void onBus(BusEvent event) {
         ServerList list = servers.apply(event, event.whole() ? ListScope.COMPLETE : ListScope.CHANGES);
         host.raise(list);
+        for (var waiting = unlisted.entrySet().iterator(); waiting.hasNext();) {
+            var next = waiting.next();
+            if (next.getKey().state() == State.OVER) {
+                waiting.remove();
+            } else if (servers.listed(next.getKey().server())) {
+                waiting.remove();
+                next.getKey().tell();
+                host.raise(next.getValue());
+                servers.attend(next.getKey().server());
+            }
+        }
+    }
+
+    /** A drain has begun; set-ups come for {@code stillComeMs} more, and all are to be answered before the process is killed. */
+    public void drain(double stillComeMs) {
+        viewers.answerBy(loop.clock().millis() + longestMs + stillComeMs - ANSWER_MARGIN_MS);
+    }
+
+    /** Whether nothing is left to be answered, released, read or written. */
+    public boolean quiet() {
+        return table.size() == 0 && viewers.quiet() && !servers.waits();
+    }
+
+    /** Takes no more viewers and ends the sending side of those that are there. */
+    public void finish() {
+        viewers.finish();
+    }
+
+    /** Connections of viewers. */
+    public int viewers() {
+        return viewers.links();
     }
 
     /** Sessions that are owed an answer or stand. */
@@ -163,26 +219,55 @@
         @Override
         public void asked(Session s, ViewerDesk.Request r) {
             counters.count("asked");
+            s.tell();
             host.raise(request(s.name(), r, r.giveUpMs()));
         }
 
         @Override
         public void handedOver(long id, Origin origin, ViewerDesk.Request r, String server) {
-            long number = servers.number(server);
-            if (number < 0) {
-                counters.count("handed-over.server-unknown");
+            unlisted.keySet().removeIf(s -> s.state() == State.OVER);
+            if (unlisted.size() >= MOST_UNLISTED) {
+                counters.count("handed-over.too-many-unlisted");
                 return;
             }
             counters.count("handed-over");
+            long number = servers.number(server);
             Session s = table.takeOver(id, origin, "", r.title(), number, loop.clock().millis());
-            host.raise(new Takeover(request(s.name(), r, Double.MAX_VALUE), number));
-            servers.attend(number);
+            Takeover takeover = new Takeover(request(s.name(), r, Double.MAX_VALUE), number);
+            Boolean endedByServer = endedUnheld.remove(id);
+            if (endedByServer != null) {
+                counters.count("handed-over.ended-before");
+                if (endedByServer) {
+                    viewers.tell(s, Message.release(s.id(), Cause.NORMAL));
+                } else {
+                    servers.release(s, Cause.NORMAL);
+                }
+                table.over(s);
+            } else if (servers.listed(number)) {
+                s.tell();
+                host.raise(takeover);
+                servers.attend(number);
+            } else {
+                // the list is late: it stands, and is released if the list does not name its server in time
+                counters.count("handed-over.unlisted");
+                unlisted.put(s, takeover);
+            }
+        }
+
+        @Override
+        public void leftUnheld(long id) {
+            endedUnheld.put(id, false);
         }
 
         @Override
         public void departed(Session s) {
+            if (s.state() == State.OVER) {
+                return;
+            }
             counters.count("departed");
-            host.raise(new Departed(s.name()));
+            if (s.told()) {
+                host.raise(new Departed(s.name()));
+            }
             if (s.state() == State.ASKED) {
                 table.over(s);
             }
@@ -234,6 +319,11 @@
             counters.count("note." + kind);
             host.raise(new Note(s.name(), s.attempt(), s.server(), kind, value));
         }
+
+        @Override
+        public void releasedUnheld(long id) {
+            endedUnheld.put(id, true);
+        }
     }
 
     /** What the controller does, carried out. */
--- a/manager/src/main/java/calicovale/manager/bus/EventBus.java
+++ b/manager/src/main/java/calicovale/manager/bus/EventBus.java
@@ -23,20 +23,25 @@
     private static final int MOST_LINE = 1 << 21;
     /** Ms without a line after which the bus has stopped: it writes one a second, and what it holds back counts as told after 4 s. */
     private static final double SILENT_MS = 2100;
+    /** Ms by which that is spread: all managers' watches fall silent together, and the bus would have all their calls at once. */
+    private static final double SILENT_SPREAD_MS = 400;
     /** Ms for a connection to stand. */
     private static final double CONNECT_MS = 400;
     /** Ms between the first two tries, and the longest between later ones. */
-    private static final double FIRST_MS = 20;
-    private static final double MOST_MS = 500;
+    private static final double FIRST_MS = 150;
+    private static final double MOST_MS = 800;
 
     private final EventLoop loop;
     private final LimitedLog log;
     private final Consumer<BusEvent> listener;
     private final Backoff backoff;
+    private final double silentMs;
     private InetSocketAddress address;
     private Link link;
     private Timer again;
     private long last;
+    /** The last event that was known when a gap behind it was asked for; -1: none was. */
+    private long gapAfter = -1;
 
     /** {@code last} is the number of the last event that is known. */
     public EventBus(EventLoop loop, RandomGenerator random, LimitedLog log, InetSocketAddress address, long last,
@@ -47,6 +52,7 @@
         this.last = last;
         this.listener = listener;
         backoff = new Backoff(FIRST_MS, MOST_MS, random);
+        silentMs = SILENT_MS + SILENT_SPREAD_MS * random.nextDouble();
     }
 
     /** Connects; to be called on the loop. */
@@ -97,15 +103,13 @@
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
         private Connection connection;
         private Timer silence;
-        private boolean heard;
-
         private void watch() {
             if (silence != null) {
                 silence.cancel();
             }
-            silence = loop.schedule(SILENT_MS, () -> {
+            silence = loop.schedule(silentMs, () -> {
                 if (link == this) {
-                    askAgain("bus.silent", "nothing for " + (long) SILENT_MS + " ms");
+                    askAgain("bus.silent", "nothing for " + (long) silentMs + " ms");
                 }
             });
         }
@@ -146,14 +150,13 @@
                     } else {
                         backoff.reset();
                     }
-                    heard = true;
                     return;
                 }
-                // a gap right after asking is the bus's own numbering: asking again would bring the same
-                if (event.offset() > last + 1 && heard) {
+                // events may come out of order; a gap that asking again does not close is the bus's own numbering
+                if (event.offset() > last + 1 && !event.whole() && gapAfter != last) {
+                    gapAfter = last;
                     askAgain("bus.gap", "event " + event.offset() + " after " + last);
                 } else if (event.offset() > last) {
-                    heard = true;
                     last = event.offset();
                     backoff.reset();
                     listener.accept(event);
--- a/manager/src/main/java/calicovale/manager/servers/ServerLink.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerLink.java
@@ -17,7 +17,11 @@
     final VideoServer server;
     final Map<Long, Attempt> attempts = new LinkedHashMap<>();
     Connection connection;
+    /** Whether it stands and what waited for that has been written. */
     boolean open;
+    /** Whether nothing more is to be sent or heard on it: what it brought cannot be read, or it goes to an old process. */
+    boolean useless;
+    final double openedAtMs;
     double usedAtMs;
     double heardAtMs;
     /** When the message that has not ended yet began; 0: none. */
@@ -25,10 +29,13 @@
     private final ServerPool pool;
     private final SignalParser parser = new SignalParser();
     private final List<Message> waiting = new ArrayList<>();
+    private boolean stood;
+    private boolean ignored;
 
     ServerLink(ServerPool pool, VideoServer server, double nowMs) {
         this.pool = pool;
         this.server = server;
+        openedAtMs = nowMs;
         usedAtMs = nowMs;
         heardAtMs = nowMs;
     }
@@ -45,12 +52,27 @@
 
     /** Takes a set-up back that was not written yet; false if it was. */
     boolean unsend(long session) {
-        return !open && waiting.removeIf(m -> m.session() == session);
+        waiting.removeIf(m -> m.session() == session);
+        return !stood;
+    }
+
+    /** Messages that wait for the link to stand. */
+    boolean waits() {
+        return !waiting.isEmpty();
     }
 
     @Override
     public void onOpen(Connection c) {
+        // what waits goes out with the decisions: a viewer's close may lie unread on another connection
+        pool.decide(() -> stands(c));
+    }
+
+    private void stands(Connection c) {
+        if (c.isClosed()) {
+            return;
+        }
         open = true;
+        stood = true;
         heardAtMs = pool.nowMs();
         List<Message> all = List.copyOf(waiting);
         waiting.clear();
@@ -67,16 +89,15 @@
         heardAtMs = pool.nowMs();
         usedAtMs = heardAtMs;
         server.heardAtMs = heardAtMs;
+        server.tries = 0;
         try {
             parser.feed(bytes, message -> {
-                String fault = pool.take(this, message);
-                if (fault != null) {
-                    pool.spoilt(this, fault);
-                }
-                return !c.isClosed();
+                pool.decide(() -> take(message));
+                return true;
             });
         } catch (SignalException e) {
-            pool.spoilt(this, e.getMessage());
+            useless = true;
+            pool.decide(() -> spoilt(e.getMessage()));
         }
         if (!parser.midMessage()) {
             partialSinceMs = 0;
@@ -85,11 +106,31 @@
         }
     }
 
+    private void take(Message message) {
+        String fault = ignored ? null : pool.take(this, message);
+        if (fault != null) {
+            spoilt(fault);
+        }
+    }
+
+    /** Nothing more on it is of use, whatever it brought behind. */
+    void spoilt(String why) {
+        if (!ignored) {
+            ignored = true;
+            useless = true;
+            pool.spoilt(this, why);
+        }
+    }
+
+    /**
+     * It is carried no more from here on; what that means for its attempts follows with the decisions: this may be called from
+     * within a write, and what came before the close is heard first.
+     */
     @Override
     public void onClosed(Connection c, IOException cause) {
-        boolean stood = open;
         open = false;
         waiting.clear();
-        pool.closed(this, stood, cause instanceof ConnectFailedException failed ? failed : null);
+        pool.dropped(this);
+        pool.decide(() -> pool.closed(this, stood, cause instanceof ConnectFailedException failed ? failed : null));
     }
 }
--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -19,11 +19,13 @@
 import calicovale.protocols.signal.MessageType;
 import calicovale.protocols.signal.Parameter;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.random.RandomGenerator;
 
 /**
  * Owns the video servers as the event bus lists them, the links to them, the attempts that are out and what is heard of sessions
@@ -31,6 +33,8 @@
  * server says, or when the server is seen to be dead.
  */
 public final class ServerPool {
+    /** What links to servers are called in the loop. */
+    private static final String SERVER = "server";
     /** Ms between looks at links that say nothing or only half a message. */
     private static final double SWEEP_MS = 100;
     /** Ms for which a message may stand half read: a whole one is 16 KiB at most. */
@@ -42,8 +46,11 @@
     /** Refusals one after the other, over so many ms, that show that the process is gone. */
     private static final int REFUSALS = 3;
     private static final double REFUSED_MS = 300;
-    /** Ms between tries to reach a server where sessions stand. */
+    /** Ms between the first tries to reach a server where sessions stand, and most between later ones. */
     private static final double AGAIN_MS = 150;
+    private static final double MOST_AGAIN_MS = 1000;
+    /** Part by which looks and tries are spread: managers hear of a server's trouble at the same time. */
+    private static final double SPREAD = 0.2;
     /** Ms of silence after which a server that cannot be reached is taken for gone: releases are due 8 s after the end. */
     private static final double VANISHED_MS = 6500;
     /** Ms for which it was then tried at least. */
@@ -62,9 +69,13 @@
 
         /** News on a session that stands. */
         void note(Session s, NoteKind kind, double value);
+
+        /** A server released a session that is not held here. */
+        void releasedUnheld(long id);
     }
 
     private final EventLoop loop;
+    private final RandomGenerator random;
     private final ServerSettings settings;
     private final PlatformSettings platform;
     private final SessionTable table;
@@ -76,9 +87,10 @@
     private int links;
 
     /** Starts with no server. */
-    public ServerPool(EventLoop loop, ServerSettings settings, PlatformSettings platform, SessionTable table, LimitedLog log,
-            Listener listener) {
+    public ServerPool(EventLoop loop, RandomGenerator random, ServerSettings settings, PlatformSettings platform, SessionTable table,
+            LimitedLog log, Listener listener) {
         this.loop = loop;
+        this.random = random;
         this.settings = settings;
         this.platform = platform;
         this.table = table;
@@ -91,6 +103,15 @@
         return loop.clock().millis();
     }
 
+    void decide(Runnable body) {
+        loop.defer(EventLoop.Phase.DECISIONS, body);
+    }
+
+    /** Messages that wait for a link to stand. */
+    public boolean waits() {
+        return servers.values().stream().anyMatch(s -> s.links.stream().anyMatch(ServerLink::waits));
+    }
+
     /** Links that are open or being opened. */
     public int links() {
         return links;
@@ -109,6 +130,7 @@
         List<VideoServer> named = new ArrayList<>();
         for (BusEvent.Entry entry : event.entries()) {
             VideoServer server = server(entry.id());
+            server.listed = true;
             named.add(server);
             take(server, entry);
             ServerState state = switch (entry.lifecycle()) {
@@ -129,7 +151,8 @@
 
     private void take(VideoServer server, BusEvent.Entry entry) {
         server.gone = entry.lifecycle() == BusEvent.Lifecycle.TERMINATED;
-        boolean moved = entry.address() != null && server.address != null && !entry.address().equals(server.address);
+        InetSocketAddress was = server.address;
+        boolean moved = entry.address() != null && was != null && !entry.address().equals(was);
         if (entry.address() != null) {
             server.address = entry.address();
         }
@@ -138,7 +161,17 @@
         }
         if (moved || entry.startedAtMs() > server.startedAtMs) {
             server.startedAtMs = Math.max(server.startedAtMs, entry.startedAtMs());
-            restarted(server, moved ? Double.MAX_VALUE : entry.startedAtMs());
+            double startMs = moved ? Double.MAX_VALUE : entry.startedAtMs();
+            restarted(server, startMs);
+            // a link to the process before leads to whoever answers there now, or to nobody
+            for (ServerLink link : List.copyOf(server.links)) {
+                if (link.openedAtMs < startMs) {
+                    link.useless = true;
+                    if (moved || link.attempts.isEmpty()) {
+                        link.connection.close();
+                    }
+                }
+            }
         }
         for (VideoServer other : List.copyOf(servers.values())) {
             // who had the address before is gone: what answers there now is another
@@ -161,12 +194,18 @@
     }
 
     private VideoServer server(String name) {
-        return servers.computeIfAbsent(numbers.of(name), n -> new VideoServer(n, name, nowMs()));
+        return servers.computeIfAbsent(numbers.of(name), n -> new VideoServer(n, name, nowMs(), SPREAD * random.nextDouble()));
     }
 
-    /** The number of a server that is known by its name; -1: none is. */
+    /** The number of the server of this name, whether or not the list has named it yet. */
     public long number(String name) {
-        return servers.values().stream().filter(s -> s.name.equals(name)).mapToLong(s -> s.number).findFirst().orElse(-1);
+        return server(name).number;
+    }
+
+    /** Whether the list has named a server. */
+    public boolean listed(long number) {
+        VideoServer server = servers.get(number);
+        return server != null && server.listed;
     }
 
     // --- Attempts ---
@@ -176,15 +215,14 @@
         VideoServer server = servers.get(number);
         double now = nowMs();
         table.out(s, number, now);
-        ServerLink link = server == null || server.address == null ? null : linkFor(server);
+        ServerLink link = server == null || server.address == null || s.departed() ? null : linkFor(server);
         Attempt attempt = new Attempt(s, link, now);
         out.put(s.id(), attempt);
         if (link == null) {
             loop.schedule(0, () -> {
-                if (out.get(s.id()) == attempt) {
-                    log.count("attempt.no-link");
-                    end(attempt, Outcome.CONNECT_FAILED, Map.of());
-                }
+                log.count("attempt.no-link");
+                // it never left, and the server has no part in that
+                end(attempt, Outcome.MOOT, Map.of());
             });
             return;
         }
@@ -207,7 +245,7 @@
         ServerLink best = null;
         double now = nowMs();
         for (ServerLink link : List.copyOf(server.links)) {
-            if (link.partialSinceMs > 0) {
+            if (link.partialSinceMs > 0 || link.useless) {
                 continue;
             }
             if (link.open && link.attempts.isEmpty() && now - link.usedAtMs > settings.idleMs()) {
@@ -250,12 +288,11 @@
         ServerLink link = new ServerLink(this, server, nowMs());
         server.links.add(link);
         links++;
-        link.connection = loop.connect(server.address, "server", settings.connectMs(), link);
+        link.connection = loop.connect(server.address, SERVER, settings.connectMs(), link);
         return link;
     }
 
     private void overdue(Attempt attempt) {
-        attempt.overdue = null;
         ServerLink link = attempt.link;
         if (link.unsend(attempt.session.id())) {
             end(attempt, Outcome.CONNECT_FAILED, Map.of());
@@ -284,8 +321,12 @@
         end(attempt, Outcome.CANCELLED, Map.of());
     }
 
+    /** Without effect on an attempt that has ended: its time, its link and its server may all tell of it in one turn. */
     private void end(Attempt attempt, Outcome outcome, Map<String, Double> load) {
         Session s = attempt.session;
+        if (out.get(s.id()) != attempt) {
+            return;
+        }
         long server = s.server();
         forget(attempt);
         table.back(s);
@@ -321,7 +362,7 @@
         }
         ServerLink any = null;
         for (ServerLink link : server.links) {
-            any = any == null || link.open && !any.open ? link : any;
+            any = !link.useless && (any == null || link.open && !any.open) ? link : any;
         }
         if (any == null && (links < settings.mostLinks() || freeOne())) {
             any = connect(server);
@@ -372,6 +413,9 @@
                     released(s, m);
                 } else {
                     log.count("server.release-of-none");
+                    if (s == null) {
+                        listener.releasedUnheld(m.session());
+                    }
                 }
                 return null;
             }
@@ -460,6 +504,12 @@
         server.unreachableSinceMs = 0;
     }
 
+    /** The link is gone: nothing more is sent on it, and what it counts for here is free. */
+    void dropped(ServerLink link) {
+        link.server.links.remove(link);
+        links--;
+    }
+
     /** A link brought what cannot be read, or stopped in the middle: nothing more on it is of use. */
     void spoilt(ServerLink link, String why) {
         log.say("server.spoilt", link.server + ": " + why);
@@ -468,12 +518,12 @@
 
     void closed(ServerLink link, boolean stood, ConnectFailedException failed) {
         VideoServer server = link.server;
-        server.links.remove(link);
-        links--;
         double now = nowMs();
         boolean alive = server.anyOpen();
         if (failed == null) {
             log.count("server.link-closed");
+        } else if (failed.local()) {
+            log.say("server.not-tried", failed.getMessage());
         } else if (failed.timedOut()) {
             log.count("server.unreachable");
             server.unreachableSinceMs = server.unreachableSinceMs > 0 ? server.unreachableSinceMs : now - settings.connectMs();
@@ -482,7 +532,7 @@
             server.refusedSinceMs = server.refusals++ == 0 ? now : server.refusedSinceMs;
         }
         for (Attempt attempt : List.copyOf(link.attempts.values())) {
-            end(attempt, stood ? Outcome.RESET : Outcome.CONNECT_FAILED, Map.of());
+            end(attempt, stood ? Outcome.RESET : failed != null && failed.local() ? Outcome.MOOT : Outcome.CONNECT_FAILED, Map.of());
         }
         if (table.standingAt(server.number) == 0) {
             return;
@@ -495,7 +545,7 @@
                 && now - server.heardAtMs > VANISHED_MS) {
             died(server, "it cannot be reached");
         } else if (lost && server.again == null) {
-            server.again = loop.schedule(failed == null ? 0 : AGAIN_MS, () -> {
+            server.again = loop.schedule(failed == null ? 0 : againMs(server), () -> {
                 server.again = null;
                 if (!server.anyOpen() || loop.clock().millis() - server.heardAtMs > settings.quietMs()) {
                     reach(server);
@@ -504,6 +554,11 @@
         }
     }
 
+    private double againMs(VideoServer server) {
+        double most = Math.min(MOST_AGAIN_MS, AGAIN_MS * (1 << Math.min(REFUSALS, server.tries++ / REFUSALS)));
+        return most * (1 - SPREAD * random.nextDouble());
+    }
+
     private void died(VideoServer server, String why) {
         List<Session> cut = table.listStandingAt(server.number);
         if (!cut.isEmpty()) {
@@ -524,20 +579,23 @@
             int idle = 0;
             for (ServerLink link : List.copyOf(server.links)) {
                 if (link.partialSinceMs > 0 && now - link.partialSinceMs > PARTIAL_MS) {
-                    spoilt(link, "half a message for " + (long) PARTIAL_MS + " ms");
+                    link.spoilt("half a message for " + (long) PARTIAL_MS + " ms");
                 } else if (link.open && link.attempts.isEmpty() && now - link.usedAtMs > SPARE_IDLE_MS && ++idle > KEPT_IDLE) {
                     link.connection.close();
                 }
             }
             boolean stands = table.standingAt(server.number) > 0;
-            if (stands && now - Math.max(server.heardAtMs, server.lookedAtMs) > settings.quietMs()) {
+            double quietMs = settings.quietMs() * (1 + server.spread);
+            if (stands && server.address == null && now - Math.max(server.heardAtMs, server.knownAtMs) > VANISHED_MS) {
+                died(server, server.listed ? "it has no address" : "the list does not name it");
+            } else if (stands && now - Math.max(server.heardAtMs, server.lookedAtMs) > quietMs) {
                 server.lookedAtMs = now;
                 log.count("server.looked-at");
                 reach(server);
             } else if (stands && server.links.isEmpty() && server.again == null) {
                 reach(server);
             }
-            if (server.gone && !stands && server.links.stream().allMatch(link -> link.attempts.isEmpty())) {
+            if ((server.gone || !server.listed) && !stands && server.links.stream().allMatch(link -> link.attempts.isEmpty())) {
                 forget(server);
             }
         }
--- a/manager/src/main/java/calicovale/manager/sessions/Session.java
+++ b/manager/src/main/java/calicovale/manager/sessions/Session.java
@@ -34,6 +34,7 @@
     double sinceMs;
     private int rung = -1;
     private boolean departed;
+    private boolean told;
 
     Session(long id, Origin origin, String sessionClass, String title, byte[] description, double giveUpMs) {
         this.id = id;
@@ -120,6 +121,16 @@
         departed = true;
     }
 
+    /** Whether the controller has heard of it. */
+    public boolean told() {
+        return told;
+    }
+
+    /** The controller hears of it. */
+    public void tell() {
+        told = true;
+    }
+
     void dropDescription() {
         description = null;
     }
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerDesk.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerDesk.java
@@ -15,7 +15,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Set;
 
 /**
@@ -23,6 +22,8 @@
  * is answered with an error by the protocol, or a close, and nobody else notices.
  */
 public final class ViewerDesk {
+    /** What viewers' connections are called in the loop. */
+    private static final String VIEWER = "viewer";
     /** Ms between looks at connections that say nothing. */
     private static final double SWEEP_MS = 200;
     /** Ms for which a release waits for a connection to be sent on; it is due after 8 s. */
@@ -48,6 +49,9 @@
 
         /** A viewer ended a session that stands. */
         void left(Session s);
+
+        /** A viewer ended a session that is not held here. */
+        void leftUnheld(long id);
     }
 
     /**
@@ -70,6 +74,7 @@
     private final Set<ViewerLink> links = new LinkedHashSet<>();
     private final ArrayDeque<Waiting> releases = new ArrayDeque<>();
     private EventLoop.Listener socket;
+    private double answerByMs = Double.MAX_VALUE;
 
     /** Listens once {@link #open} is called. */
     public ViewerDesk(EventLoop loop, ViewerSettings settings, SessionTable table, LimitedLog log, Listener listener) {
@@ -86,11 +91,34 @@
 
     /** Listens; to be called on the loop. */
     public InetSocketAddress open(InetSocketAddress address) throws IOException {
-        socket = loop.listen(address, "viewer", this::accept);
+        socket = loop.listen(address, VIEWER, this::accept);
         loop.schedule(SWEEP_MS, this::sweep);
         return socket.address();
     }
 
+    /**
+     * Whether nothing is left to be done for viewers: all who came are in, nothing is half read, no answer waits to be written and
+     * no release for a connection.
+     */
+    public boolean quiet() {
+        double now = nowMs();
+        return socket.caughtUp() && releases.isEmpty() && links.stream().allMatch(link -> link.connection.pendingBytes() == 0
+                && (link.partialSinceMs == 0 || now - link.partialSinceMs > settings.speakMs()));
+    }
+
+    /** All set-ups that come from now on are to be answered by then. */
+    public void answerBy(double ms) {
+        answerByMs = ms;
+    }
+
+    /** Ends the sending side of all connections: what was answered is read by viewers, where a close could overtake it. */
+    public void finish() {
+        socket.close();
+        for (ViewerLink link : links) {
+            link.connection.finish();
+        }
+    }
+
     /** Connections held. */
     public int links() {
         return links.size();
@@ -155,7 +183,7 @@
         }
         Session held = table.get(m.session());
         double now = nowMs();
-        Request request = new Request(setUp.classIndex(), setUp.title(), setUp.viewer(), now + setUp.waitMs(), setUp.home(),
+        Request request = new Request(setUp.classIndex(), setUp.title(), setUp.viewer(), Math.min(now + setUp.waitMs(), answerByMs), setUp.home(),
                 setUp.copies(), setUp.top(), setUp.retry(), setUp.again());
         if (setUp.at() != null) {
             useful(link);
@@ -184,7 +212,12 @@
         Session s = table.ask(m.session(), link, settings.classes().get(setUp.classIndex()), setUp.title(), setUp.description(),
                 request.giveUpMs());
         link.owed.add(s);
-        listener.asked(s, request);
+        // decided once all that is ready has been read: its own cancel or the close of its connection may lie right behind
+        loop.defer(EventLoop.Phase.DECISIONS, () -> {
+            if (s.state() == State.ASKED && !s.departed()) {
+                listener.asked(s, request);
+            }
+        });
     }
 
     /** One number for two set-ups: on one connection neither can be answered apart from the other, so both are over. */
@@ -202,6 +235,7 @@
         link.send(Message.of(MessageType.RLC, m.session()));
         if (s == null) {
             log.count("viewer.release-of-none");
+            listener.leftUnheld(m.session());
         } else if (s.state() == State.STANDING) {
             listener.left(s);
         } else if (s.origin() == link && !s.departed()) {
@@ -226,13 +260,14 @@
         link.connection.closeWhenDrained();
     }
 
+    /** Told with the ends of the turn: this may be called from within a write, in the middle of a decision. */
     void closed(ViewerLink link) {
         links.remove(link);
-        for (Session s : List.copyOf(link.owed)) {
-            link.owed.remove(s);
+        for (Session s : link.owed) {
             s.depart();
-            listener.departed(s);
+            loop.defer(EventLoop.Phase.ENDS, () -> listener.departed(s));
         }
+        link.owed.clear();
     }
 
     // --- What goes out ---
--- a/protocols/src/main/java/calicovale/protocols/net/Connection.java
+++ b/protocols/src/main/java/calicovale/protocols/net/Connection.java
@@ -38,6 +38,7 @@
     }
 
     private final EventLoop loop;
+    /** Null where no descriptor was left for it: it then fails, and nothing else becomes of it. */
     private final SocketChannel channel;
     private final String name;
     private final boolean accepted;
@@ -103,6 +104,9 @@
 
     /** The peer's address, or null when it is not known any more. */
     public InetSocketAddress remote() {
+        if (channel == null) {
+            return null;
+        }
         try {
             return (InetSocketAddress) channel.getRemoteAddress();
         } catch (IOException e) {
@@ -112,6 +116,9 @@
 
     /** The address here, or null when it is not known any more. */
     public InetSocketAddress local() {
+        if (channel == null) {
+            return null;
+        }
         try {
             return (InetSocketAddress) channel.getLocalAddress();
         } catch (IOException e) {
@@ -224,6 +231,10 @@
             connectTimer.cancel();
         }
         loop.forget(this);
+        if (channel == null) {
+            return;
+        }
+        loop.closed(this);
         try {
             if (abrupt) {
                 channel.setOption(StandardSocketOptions.SO_LINGER, 0);
@@ -272,9 +283,10 @@
         opened();
     }
 
-    void readable(ByteBuffer buffer) {
+    /** Reads once; whether more may be there. */
+    boolean readable(ByteBuffer buffer) {
         if (!reading || closed) {
-            return;
+            return false;
         }
         buffer.clear();
         int count;
@@ -282,7 +294,7 @@
             count = channel.read(buffer);
         } catch (IOException e) {
             fail(e);
-            return;
+            return false;
         }
         if (count < 0) {
             reading = false;
@@ -295,6 +307,7 @@
             loop.tap().read(this, buffer.asReadOnlyBuffer());
             handler.onBytes(this, buffer);
         }
+        return count > 0;
     }
 
     void writable() {
--- a/protocols/src/main/java/calicovale/protocols/net/LoopCounters.java
+++ b/protocols/src/main/java/calicovale/protocols/net/LoopCounters.java
@@ -6,6 +6,10 @@
     public long accepted;
     /** Connections asked for. */
     public long connects;
+    /** Connections that could not be tried, such as for lack of descriptors. */
+    public long connectErrors;
+    /** Reads that brought something. */
+    public long reads;
     /** Bytes read. */
     public long bytesRead;
     /** Bytes written. */
