--- a/manager/src/main/java/calicovale/manager/ManagerProcess.java
+++ b/manager/src/main/java/calicovale/manager/ManagerProcess.java
@@ -73,6 +73,11 @@
         LOG.info("counts {}", manager.counts());
     }
 
+    /** Its loop, for tests that force an order of events. */
+    EventLoop loop() {
+        return loop;
+    }
+
     /** Where it listens. */
     public InetSocketAddress address() {
         return address;
--- a/manager/src/test/java/calicovale/manager/Rig.java
+++ b/manager/src/test/java/calicovale/manager/Rig.java
@@ -3,6 +3,7 @@
 import calicovale.manager.config.ManagerConfig;
 import calicovale.protocols.json.InvalidDocumentException;
 import calicovale.protocols.net.Clock;
+import calicovale.protocols.net.Connection;
 import calicovale.protocols.signal.Message;
 import calicovale.protocols.signal.MessageType;
 import calicovale.protocols.signal.Parameter;
@@ -20,10 +21,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -37,6 +40,8 @@
 
     final List<Box> boxes = new ArrayList<>();
     final Bus bus = new Bus();
+    final ShiftedClock clock = new ShiftedClock();
+    private long readBefore;
     final ManagerProcess process;
 
     Rig(int servers) throws IOException, InvalidDocumentException {
@@ -47,7 +52,86 @@
         for (int i = 0; i < servers; i++) {
             boxes.add(new Box());
         }
-        process = new ManagerProcess(ManagerConfig.read("config", config(bus.port(), sockets)), Clock.system());
+        process = new ManagerProcess(ManagerConfig.read("config", config(bus.port(), sockets)), clock);
+        // the worst order: what may start an attempt is read before the news of viewers
+        process.loop().execute(() -> process.loop().readOrder(Comparator.comparing(Connection::accepted)));
+    }
+
+    /** What peers do while the loop stands still. */
+    interface Act {
+        void run() throws Exception;
+    }
+
+    /** The loop stands still while the peers act: all that they did is ready in its next turn. */
+    void inOneTurn(Act act) throws Exception {
+        Hold hold = new Hold();
+        process.loop().execute(hold);
+        hold.during(act);
+    }
+
+    /**
+     * What peers did in {@code before} is read and decided in one turn; in the same turn, before timers that fall due within
+     * {@code thenMs}, the loop stands still again while they act.
+     */
+    void afterDecisions(Act before, double thenMs, Act act) throws Exception {
+        Hold hold = new Hold();
+        Hold second = new Hold();
+        process.loop().execute(hold);
+        hold.during(() -> {
+            before.run();
+            hold.then = () -> {
+                process.loop().schedule(0, second);
+                clock.advance(thenMs);
+            };
+        });
+        second.during(act);
+    }
+
+    /** A message or timer at which the loop stands still. */
+    private static final class Hold implements Runnable {
+        private final CountDownLatch reached = new CountDownLatch(1);
+        private final CountDownLatch go = new CountDownLatch(1);
+        private volatile Runnable then = () -> { };
+
+        @Override
+        public void run() {
+            reached.countDown();
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            then.run();
+        }
+
+        void during(Act act) throws Exception {
+            reached.await();
+            try {
+                act.run();
+            } finally {
+                go.countDown();
+            }
+        }
+    }
+
+    /** The system's clock, which a test may put forward. */
+    static final class ShiftedClock implements Clock {
+        private final Clock real = Clock.system();
+        private volatile double aheadMs;
+
+        void advance(double ms) {
+            aheadMs += ms;
+        }
+
+        @Override
+        public long nanos() {
+            return real.nanos() + (long) (aheadMs * 1e6);
+        }
+
+        @Override
+        public double millis() {
+            return real.millis() + aheadMs;
+        }
     }
 
     String config(int busPort, int sockets) {
@@ -93,6 +177,16 @@
         return new Peer(new Socket(HERE, process.address().getPort()));
     }
 
+    /** A viewer whose connection has been accepted. */
+    Peer viewerWithin() throws IOException {
+        Peer peer = viewer();
+        peer.send(Message.of(MessageType.UPT, 9));
+        if (peer.next().type() != MessageType.UPA) {
+            throw new IOException("no test was passed");
+        }
+        return peer;
+    }
+
     static Message setUp(long id, String sessionClass, String extras) {
         return Message.of(MessageType.IAM, id).with(Parameter.CLASS, sessionClass).with(Parameter.WAIT, "1500")
                 .with(Parameter.TITLE, "7f3a").with(Parameter.EXTRAS, extras).with(Parameter.DESCRIPTION, WANTED);
@@ -107,6 +201,20 @@
         until(() -> process.counts().getOrDefault(count, 0L) >= least);
     }
 
+    /** Counts what is read from here on. */
+    void readFrom() {
+        readBefore = bytesRead();
+    }
+
+    /** Waits until so many bytes have been read. */
+    void awaitRead(long bytes) throws InterruptedException {
+        until(() -> bytesRead() >= readBefore + bytes);
+    }
+
+    private long bytesRead() {
+        return process.loop().call(() -> process.loop().counters().bytesRead);
+    }
+
     /** Waits for a state, with a generous bound. */
     void until(BooleanSupplier state) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
@@ -142,6 +250,8 @@
         Peer(Socket socket) throws SocketException {
             this.socket = socket;
             socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_S));
+            // what is sent is there when the call returns, not when the other side has acknowledged what came before
+            socket.setTcpNoDelay(true);
         }
 
         void send(Message... messages) throws IOException {
@@ -189,6 +299,22 @@
             socket.close();
         }
 
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        void halfClose() throws IOException {
+            socket.shutdownOutput();
+        }
+
+        /** Reads to the end of the connection; a reset throws. */
+        void awaitEnd() throws IOException {
+            while (socket.getInputStream().read() >= 0) {
+                continue;
+            }
+        }
+
         @Override
         public void close() throws IOException {
             hangUp();
@@ -242,6 +368,17 @@
             return set;
         }
 
+        /** Waits until a connection has come. */
+        void awaitPeer() throws InterruptedException {
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+            while (peers.isEmpty()) {
+                if (System.nanoTime() > end) {
+                    throw new AssertionError("no connection came");
+                }
+                Thread.sleep(1);
+            }
+        }
+
         /** New connections are refused from now on, open ones stay. */
         void listenNoMore() throws IOException {
             server.close();
