--- a/manager/src/test/java/calicovale/manager/OrdersTest.java
+++ b/manager/src/test/java/calicovale/manager/OrdersTest.java
@@ -58,6 +58,7 @@
     @EnumSource(Going.class)
     void aServersErrorDoesNotOvertakeItsViewersGoing(Going going) throws Exception {
         try (Rig rig = new Rig(2); Peer viewer = rig.viewerWithin()) {
+            rig.clock.stop();
             viewer.send(Rig.setUp(1));
             Box.Came set = rig.asked().next();
             rig.inOneTurn(() -> {
@@ -73,6 +74,7 @@
     @Test
     void ofTwoViewersOnlyTheOneThatStayedIsTriedAgain() throws Exception {
         try (Rig rig = new Rig(2); Peer stays = rig.viewerWithin(); Peer goes = rig.viewerWithin()) {
+            rig.clock.stop();
             stays.send(Rig.setUp(1));
             Box first = rig.asked();
             Box.Came one = first.next();
@@ -100,6 +102,7 @@
     void aCancelIsHeardOnceItsLastByteHasCome() throws Exception {
         byte[] cancel = Message.release(1, Cause.NORMAL).encode().array();
         try (Rig rig = new Rig(2); Peer viewer = rig.viewerWithin()) {
+            rig.clock.stop();
             viewer.send(Rig.setUp(1));
             Box.Came set = rig.asked().next();
             viewer.raw(java.util.Arrays.copyOf(cancel, cancel.length - 1));
@@ -117,6 +120,7 @@
     @EnumSource(Going.class)
     void aSetUpWithItsViewersGoingBehindItIsNotSentOn(Going going) throws Exception {
         try (Rig rig = new Rig(1); Peer viewer = rig.viewerWithin()) {
+            rig.clock.stop();
             rig.inOneTurn(() -> {
                 viewer.send(Rig.setUp(1));
                 going.now(viewer, 1);
@@ -131,6 +135,7 @@
     @EnumSource(Going.class)
     void aLinkThatComesUpSendsNothingForAViewerThatHasGone(Going going) throws Exception {
         try (Rig rig = new Rig(1); Peer viewer = rig.viewerWithin()) {
+            rig.clock.stop();
             // the link is being opened then; the loop hears that it stands together with the viewer's going
             rig.afterDecisions(() -> viewer.send(Rig.setUp(1)), 0, () -> {
                 rig.boxes.get(0).awaitPeer();
@@ -149,6 +154,7 @@
     @Test
     void anAnswerThatIsThereOutranksItsTimeOut() throws Exception {
         try (Rig rig = new Rig(2); Peer viewer = rig.viewerWithin()) {
+            rig.clock.stop();
             viewer.send(Rig.setUp(1));
             Box.Came set = rig.asked().next();
             rig.inOneTurn(() -> {
@@ -163,6 +169,7 @@
     @Test
     void aTimeOutDoesNotOvertakeItsViewersGoing() throws Exception {
         try (Rig rig = new Rig(2); Peer viewer = rig.viewerWithin()) {
+            rig.clock.stop();
             viewer.send(Rig.setUp(1));
             rig.asked().next();
             rig.inOneTurn(() -> {
@@ -178,6 +185,7 @@
     @Test
     void anAttemptWhoseLinkBreaksWhileItIsBeingEndedEndsOnce() throws Exception {
         try (Rig rig = new Rig(3); Peer viewer = rig.viewerWithin()) {
+            rig.clock.stop();
             viewer.send(Rig.setUp(1));
             Box.Came set = rig.asked().next();
             // its time is up behind this hold, and its link is reset before the release is written
@@ -195,6 +203,7 @@
     @Test
     void anAnswerAndTheCloseBehindItStand() throws Exception {
         try (Rig rig = new Rig(1); Peer viewer = rig.viewerWithin()) {
+            rig.clock.stop();
             viewer.send(Rig.setUp(1));
             Box.Came set = rig.asked().next();
             rig.inOneTurn(() -> {
@@ -209,6 +218,7 @@
     @Test
     void aKeptLinkThatItsServerResetsAsASetUpGoesOutEndsItOnce() throws Exception {
         try (Rig rig = new Rig(1); Peer viewer = rig.viewerWithin()) {
+            rig.clock.stop();
             viewer.send(Rig.setUp(1));
             Box.Came set = rig.boxes.get(0).serve();
             assertEquals(MessageType.ANM, viewer.next().type());
--- a/manager/src/test/java/calicovale/manager/ProcessTest.java
+++ b/manager/src/test/java/calicovale/manager/ProcessTest.java
@@ -37,6 +37,8 @@
                 process.destroy();
                 assertTrue(process.waitFor(20, TimeUnit.SECONDS));
                 assertEquals(0, process.exitValue());
+            } catch (AssertionError e) {
+                throw new AssertionError(Files.readString(folder.resolve("log")), e);
             } finally {
                 process.destroyForcibly();
             }
--- a/manager/src/test/java/calicovale/manager/Rig.java
+++ b/manager/src/test/java/calicovale/manager/Rig.java
@@ -114,23 +114,34 @@
         }
     }
 
-    /** The system's clock, which a test may put forward. */
+    /** The system's clock, which a test may stop and put forward: on a busy machine no time-out then falls due by itself. */
     static final class ShiftedClock implements Clock {
         private final Clock real = Clock.system();
+        private final long fromNanos = real.nanos();
+        private final double fromMs = real.millis();
         private volatile double aheadMs;
+        private volatile double stoppedAtMs = Double.NaN;
 
         void advance(double ms) {
             aheadMs += ms;
         }
 
+        void stop() {
+            stoppedAtMs = passedMs();
+        }
+
+        private double passedMs() {
+            return Double.isNaN(stoppedAtMs) ? (real.nanos() - fromNanos) / 1e6 : stoppedAtMs;
+        }
+
         @Override
         public long nanos() {
-            return real.nanos() + (long) (aheadMs * 1e6);
+            return fromNanos + (long) ((passedMs() + aheadMs) * 1e6);
         }
 
         @Override
         public double millis() {
-            return real.millis() + aheadMs;
+            return fromMs + passedMs() + aheadMs;
         }
     }
 
