A connection that stands is not taken for one that has just come up

Cause, from reading: a look at the selector in the middle of a turn (descriptors let go before another is opened) can leave a key in the selected set with its old readiness; the next turn then took the connection for new again and told its owner twice. Now a connection that is open is read, whatever its key says. OrdersTest passed.

--- a/protocols/src/main/java/calicovale/protocols/net/Connection.java
+++ b/protocols/src/main/java/calicovale/protocols/net/Connection.java
@@ -92,6 +92,11 @@
         tapState = state;
     }
 
+    /** Whether it has come to stand, and was not necessarily closed since. */
+    boolean isOpen() {
+        return open;
+    }
+
     /** Whether it is closed. */
     public boolean isClosed() {
         return closed;
--- a/protocols/src/main/java/calicovale/protocols/net/EventLoop.java
+++ b/protocols/src/main/java/calicovale/protocols/net/EventLoop.java
@@ -375,10 +375,11 @@
             if (c.isClosed() || !c.key.isValid()) {
                 continue;
             }
-            if (c.key.isConnectable()) {
+            // a look at the selector in between may leave a key behind as ready to connect that has long stood
+            if (c.key.isConnectable() && !c.isOpen()) {
                 c.key.interestOps(0);
                 handle(c, c::connectable);
-            } else if (c.key.isReadable()) {
+            } else if (c.isOpen()) {
                 handle(c, () -> {
                     // to the end: a close may lie behind what is asked
                     for (int i = 0; i < READS_PER_TURN && c.readable(readBuffer); i++) {
