--- a/manager/src/test/java/calicovale/manager/Rig.java
+++ b/manager/src/test/java/calicovale/manager/Rig.java
@@ -419,7 +419,11 @@
         private volatile Socket newest;
 
         Bus() throws IOException {
-            server = new ServerSocket(0, 50, HERE);
+            this(0);
+        }
+
+        Bus(int port) throws IOException {
+            server = new ServerSocket(port, 50, HERE);
             start(() -> {
                 while (true) {
                     Socket socket = server.accept();
