A bus that is lost has the configuration looked at: its address may have changed without a SIGHUP

A platform that starts its processes so, or a signal lost before the handler stands, would do the same. Change: when the bus breaks off, falls silent or refuses, the file's time and size are compared, and it is read again if they differ. Test: a process started with SIGHUP ignored asks the new address; it fails without the change.

--- a/manager/src/main/java/calicovale/manager/ManagerMain.java
+++ b/manager/src/main/java/calicovale/manager/ManagerMain.java
@@ -33,7 +33,7 @@
         CompletableFuture<ManagerProcess> started = new CompletableFuture<>();
         Signals.on("HUP", () -> started.thenAccept(process -> process.reload(file)));
         Signals.on("TERM", () -> started.thenAccept(ManagerProcess::drain));
-        try (ManagerProcess process = new ManagerProcess(config, Clock.system())) {
+        try (ManagerProcess process = new ManagerProcess(config, file, Clock.system())) {
             started.complete(process);
             return process.await() ? 0 : FAILED;
         }
--- a/manager/src/main/java/calicovale/manager/ManagerProcess.java
+++ b/manager/src/main/java/calicovale/manager/ManagerProcess.java
@@ -10,6 +10,7 @@
 import calicovale.protocols.net.Timer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
@@ -44,10 +45,19 @@
     private boolean draining;
     private volatile boolean drained;
     private Timer readAgain;
+    private final Path file;
+    private String stamp;
 
     /** Starts a manager; it listens once this returns. */
     public ManagerProcess(ManagerConfig config, Clock clock) throws IOException {
+        this(config, null, clock);
+    }
+
+    /** Starts a manager whose configuration stands in {@code file}; it listens once this returns. */
+    public ManagerProcess(ManagerConfig config, Path file, Clock clock) throws IOException {
         this.config = config;
+        this.file = file;
+        stamp = stamp(file);
         loop = new EventLoop("manager", clock, LIMITS, Tap.NONE).start();
         // a process that lives and serves nobody is worse than one that is started anew
         loop.whenEnded(ended::countDown);
@@ -62,7 +72,7 @@
     private InetSocketAddress begin() throws IOException {
         manager = new SessionManager(loop, config);
         bus = new EventBus(loop, new SplittableRandom(config.seed()), manager.log(LOG), config.bus(), config.knownOffset(),
-                manager::onBus);
+                manager::onBus, this::busLost);
         bus.open();
         loop.schedule(COUNTS_MS, this::tellCounts);
         return manager.open(config.listen());
@@ -93,7 +103,29 @@
         loop.execute(() -> read(file, 0));
     }
 
+    /**
+     * The bus broke off or does not answer: if the file has changed since, its address may have. Against a SIGHUP that never comes:
+     * a process that was started with it ignored cannot have it handled.
+     */
+    private void busLost() {
+        if (file != null && !stamp(file).equals(stamp)) {
+            read(file, 0);
+        }
+    }
+
+    private static String stamp(Path file) {
+        if (file == null) {
+            return "";
+        }
+        try {
+            return Files.getLastModifiedTime(file) + " " + Files.size(file);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
     private void read(Path file, int tries) {
+        stamp = stamp(file);
         if (readAgain != null) {
             readAgain.cancel();
             readAgain = null;
--- a/manager/src/main/java/calicovale/manager/bus/EventBus.java
+++ b/manager/src/main/java/calicovale/manager/bus/EventBus.java
@@ -34,6 +34,7 @@
     private final EventLoop loop;
     private final LimitedLog log;
     private final Consumer<BusEvent> listener;
+    private final Runnable lost;
     private final Backoff backoff;
     private final double silentMs;
     private InetSocketAddress address;
@@ -43,10 +44,11 @@
     /** The last event that was known when a gap behind it was asked for; -1: none was. */
     private long gapAfter = -1;
 
-    /** {@code last} is the number of the last event that is known. */
+    /** {@code last} is the number of the last event that is known; {@code lost} hears whenever the bus has to be asked again. */
     public EventBus(EventLoop loop, RandomGenerator random, LimitedLog log, InetSocketAddress address, long last,
-            Consumer<BusEvent> listener) {
+            Consumer<BusEvent> listener, Runnable lost) {
         this.loop = loop;
+        this.lost = lost;
         this.log = log;
         this.address = address;
         this.last = last;
@@ -97,6 +99,7 @@
         log.say(kind, why);
         drop();
         again = loop.schedule(backoff.nextMs(), this::connect);
+        lost.run();
     }
 
     private final class Link implements Connection.Handler {
--- a/manager/src/test/java/calicovale/manager/ProcessTest.java
+++ b/manager/src/test/java/calicovale/manager/ProcessTest.java
@@ -27,11 +27,11 @@
 @Timeout(60)
 class ProcessTest {
     private static Process start(Path config) throws IOException {
-        return start(config, "unlimited", System.getProperty("java.class.path"));
+        return start(config, "unlimited", System.getProperty("java.class.path"), "");
     }
 
-    private static Process start(Path config, String descriptors, String classPath) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "[ $1 = unlimited ] || ulimit -n $1; shift; exec \"$@\"", "sh", descriptors,
+    private static Process start(Path config, String descriptors, String classPath, String before) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", before + "[ $1 = unlimited ] || ulimit -n $1; shift; exec \"$@\"", "sh", descriptors,
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx40m", "-XX:+UseSerialGC", "-cp",
                 classPath, ManagerMain.class.getName());
         builder.environment().put(ManagerMain.CONFIG, config.toString());
@@ -61,6 +61,24 @@
         }
     }
 
+    @Test
+    void aProcessStartedWithHangupsIgnoredFindsTheBusWhereTheFileSays(@TempDir Path folder) throws Exception {
+        Path config = folder.resolve("config.json");
+        try (Rig form = new Rig(1); Bus first = new Bus(); Bus next = new Bus()) {
+            Files.writeString(config, form.config(first.port(), 256));
+            Process process = start(config, "unlimited", System.getProperty("java.class.path"), "trap '' HUP; ");
+            try {
+                assertEquals("from 1", first.nextAsked());
+                Files.writeString(config, form.config(next.port(), 256));
+                assertEquals(0, new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start().waitFor());
+                first.breakOff();
+                assertEquals("from 1", next.nextAsked());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     void idleClientsThatTookAllDescriptorsWhileTheBusWasDownDoNotKeepItFromTheBus(@TempDir Path folder) throws Exception {
         Path config = folder.resolve("config.json");
@@ -74,7 +92,7 @@
             Files.writeString(config, text);
             int listen = Integer.parseInt(text.replaceAll("(?s).*\"listen\":\"127.0.0.1:(\\d+)\".*", "$1"));
             // the system grants far fewer than the configuration says, so the manager's own bound does not help
-            Process process = start(config, "200", archives(folder));
+            Process process = start(config, "200", archives(folder), "");
             try {
                 form.until(() -> answers(listen));
                 for (int i = 0; i < 220; i++) {
