Tests of orders: the stopped clock moves on between set-ups to one server

Three of the tests that stop the clock failed for that: two set-ups to one server at the same instant are one too many for the pace of a server that may be cold.

--- a/manager/src/test/java/calicovale/manager/OrdersTest.java
+++ b/manager/src/test/java/calicovale/manager/OrdersTest.java
@@ -77,9 +77,11 @@
             stays.send(Rig.setUp(1));
             Box first = rig.asked();
             Box.Came one = first.next();
+            rig.clock.advance(10);
             goes.send(Rig.setUp(2));
             rig.await("attempts", 2);
             Box.Came two = rig.asked().next();
+            rig.clock.advance(10);
             rig.inOneTurn(() -> {
                 two.peer().send(Message.release(2, Cause.UNAVAILABLE));
                 one.peer().send(Message.release(1, Cause.UNAVAILABLE));
@@ -144,6 +146,7 @@
             nothingIsOut(rig);
             assertEquals(1, count(rig, "outcome.CANCELLED"));
             try (Peer next = rig.viewerWithin()) {
+                rig.clock.advance(10);
                 next.send(Rig.setUp(2));
                 assertEquals(2, rig.boxes.get(0).next().message().session(), "the first set-up was never written");
             }
@@ -223,6 +226,7 @@
             assertEquals(MessageType.ANM, viewer.next().type());
             set.peer().send(Message.release(1, Cause.NORMAL));
             assertEquals(MessageType.REL, viewer.next().type());
+            rig.clock.advance(10);
             rig.afterDecisions(() -> viewer.send(Rig.setUp(2)), 0, () -> set.peer().reset());
             assertEquals(Cause.CONGESTION, viewer.next().cause());
             assertEquals(1, count(rig, "outcome.RESET"));
