Stand-ins' resets have reached the system when a test goes on

Cause: anAttemptWhoseLinkBreaksWhileItIsBeingEndedEndsOnce failed 4 of 60 times on a busy machine: a socket that another thread reads is closed only once that thread has left its call, so the release was written before the reset.

--- a/manager/src/test/java/calicovale/manager/Rig.java
+++ b/manager/src/test/java/calicovale/manager/Rig.java
@@ -255,6 +255,7 @@
     /** One connection, read message by message. */
     static final class Peer implements AutoCloseable {
         private final Socket socket;
+        private volatile CountDownLatch reader;
         private final SignalParser parser = new SignalParser();
         private final Queue<Message> read = new ArrayDeque<>();
 
@@ -306,13 +307,21 @@
             return m;
         }
 
+        /** Closes; the other side has it once this returns: the system closes no socket that a thread still reads. */
         void hangUp() throws IOException {
             socket.close();
+            try {
+                if (reader != null && !reader.await(WAIT_S, TimeUnit.SECONDS)) {
+                    throw new IOException("the reader does not end");
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
         }
 
         void reset() throws IOException {
             socket.setSoLinger(true, 0);
-            socket.close();
+            hangUp();
         }
 
         void halfClose() throws IOException {
@@ -347,13 +356,18 @@
                 while (true) {
                     Peer peer = new Peer(server.accept());
                     peer.socket.setSoTimeout(0);
+                    peer.reader = new CountDownLatch(1);
                     peers.add(peer);
                     start(() -> {
-                        Message m;
-                        while ((m = peer.next()) != null) {
-                            if (m.type() != MessageType.RLC) {
-                                came.add(new Came(peer, m));
+                        try {
+                            Message m;
+                            while ((m = peer.next()) != null) {
+                                if (m.type() != MessageType.RLC) {
+                                    came.add(new Came(peer, m));
+                                }
                             }
+                        } finally {
+                            peer.reader.countDown();
                         }
                     });
                 }
