A release whose link never comes up is sent on the next; links of no further use are closed

Cause, from reading: ServerPool.tell puts a release on a link that is being opened where none stands; ServerLink.onClosed threw away what waited, so a session that its viewer had ended played on at its server for nobody where the connect failed. It is now told again, up to three links on. Links marked useless (to a former process) counted as signs of life and as kept idle ones; they no longer do and are closed once nothing is out on them. Test: the server closes its link and listens no more as the viewer ends its session; its release arrives once it listens again.

--- a/manager/src/main/java/calicovale/manager/servers/ServerLink.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerLink.java
@@ -3,6 +3,7 @@
 import calicovale.protocols.net.ConnectFailedException;
 import calicovale.protocols.net.Connection;
 import calicovale.protocols.signal.Message;
+import calicovale.protocols.signal.MessageType;
 import calicovale.protocols.signal.SignalException;
 import calicovale.protocols.signal.SignalParser;
 import java.io.IOException;
@@ -129,8 +130,9 @@
     @Override
     public void onClosed(Connection c, IOException cause) {
         open = false;
+        List<Message> releases = waiting.stream().filter(m -> m.type() == MessageType.REL).toList();
         waiting.clear();
         pool.dropped(this);
-        pool.decide(() -> pool.closed(this, stood, cause instanceof ConnectFailedException failed ? failed : null));
+        pool.decide(() -> pool.closed(this, stood, cause instanceof ConnectFailedException failed ? failed : null, releases));
     }
 }
--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -49,6 +49,8 @@
     /** Ms between the first tries to reach a server where sessions stand, and most between later ones. */
     private static final double AGAIN_MS = 150;
     private static final double MOST_AGAIN_MS = 1000;
+    /** Links one after the other that releases are tried on, where none comes up. */
+    private static final int RESENDS = 3;
     /** Part by which looks and tries are spread: managers hear of a server's trouble at the same time. */
     private static final double SPREAD = 0.2;
     /** Ms of silence after which a server that cannot be reached is taken for gone: releases are due 8 s after the end. */
@@ -501,6 +503,7 @@
     void opened(ServerLink link) {
         VideoServer server = link.server;
         server.refusals = 0;
+        server.resends = 0;
         server.unreachableSinceMs = 0;
     }
 
@@ -516,7 +519,7 @@
         link.connection.reset(new IOException(why));
     }
 
-    void closed(ServerLink link, boolean stood, ConnectFailedException failed) {
+    void closed(ServerLink link, boolean stood, ConnectFailedException failed, List<Message> releases) {
         VideoServer server = link.server;
         double now = nowMs();
         boolean alive = server.anyOpen();
@@ -534,6 +537,11 @@
         for (Attempt attempt : List.copyOf(link.attempts.values())) {
             end(attempt, stood ? Outcome.RESET : failed != null && failed.local() ? Outcome.MOOT : Outcome.CONNECT_FAILED, Map.of());
         }
+        if (!releases.isEmpty() && !server.gone && server.resends++ < RESENDS) {
+            // what its viewer has ended would play on for nobody
+            log.count("server.release-again");
+            loop.schedule(againMs(server), () -> releases.forEach(release -> tell(server.number, release)));
+        }
         if (table.standingAt(server.number) == 0) {
             return;
         }
@@ -580,7 +588,8 @@
             for (ServerLink link : List.copyOf(server.links)) {
                 if (link.partialSinceMs > 0 && now - link.partialSinceMs > PARTIAL_MS) {
                     link.spoilt("half a message for " + (long) PARTIAL_MS + " ms");
-                } else if (link.open && link.attempts.isEmpty() && now - link.usedAtMs > SPARE_IDLE_MS && ++idle > KEPT_IDLE) {
+                } else if (link.attempts.isEmpty() && (link.useless
+                        || link.open && now - link.usedAtMs > SPARE_IDLE_MS && ++idle > KEPT_IDLE)) {
                     link.connection.close();
                 }
             }
--- a/manager/src/main/java/calicovale/manager/servers/VideoServer.java
+++ b/manager/src/main/java/calicovale/manager/servers/VideoServer.java
@@ -28,6 +28,8 @@
     Timer again;
     /** Tries to reach it since it was last heard. */
     int tries;
+    /** Links that never stood, one after the other, with releases waiting on them. */
+    int resends;
 
     VideoServer(long number, String name, double nowMs, double spread) {
         this.number = number;
@@ -38,7 +40,7 @@
     }
 
     boolean anyOpen() {
-        return links.stream().anyMatch(link -> link.open);
+        return links.stream().anyMatch(link -> link.open && !link.useless);
     }
 
     @Override
--- a/manager/src/test/java/calicovale/manager/OrdersTest.java
+++ b/manager/src/test/java/calicovale/manager/OrdersTest.java
@@ -234,6 +234,30 @@
         }
     }
 
+    @Test
+    void aReleaseWhoseLinkNeverComesUpIsSentOnTheNext() throws Exception {
+        try (Rig rig = new Rig(1); Peer viewer = rig.viewerWithin()) {
+            rig.clock.stop();
+            viewer.send(Rig.setUp(1));
+            Box box = rig.boxes.get(0);
+            Box.Came set = box.serve();
+            assertEquals(MessageType.ANM, viewer.next().type());
+            int port = box.port();
+            rig.inOneTurn(() -> {
+                box.listenNoMore();
+                set.peer().hangUp();
+                viewer.send(Message.release(1, Cause.NORMAL));
+            });
+            rig.await("server.release-again", 1);
+            try (Box again = new Box(port)) {
+                rig.clock.advance(200);
+                Box.Came release = again.next();
+                assertEquals(MessageType.REL, release.message().type());
+                assertEquals(1, release.message().session());
+            }
+        }
+    }
+
     // --- Hand-overs ---
 
     private static Message handOver(long id, String server) {
--- a/manager/src/test/java/calicovale/manager/Rig.java
+++ b/manager/src/test/java/calicovale/manager/Rig.java
@@ -351,7 +351,11 @@
         private final ServerSocket server;
 
         Box() throws IOException {
-            server = new ServerSocket(0, 50, HERE);
+            this(0);
+        }
+
+        Box(int port) throws IOException {
+            server = new ServerSocket(port, 50, HERE);
             start(() -> {
                 while (true) {
                     Peer peer = new Peer(server.accept());
