The bus is tried again within part of a drain's grace, so a drain told by its return is heeded

Excluded: the controller's own state (it sends nothing to a draining server once told; its tests pass). Change: EventBus takes at most a quarter of the grace for a connect and for the wait behind it, and never more than 0.4 and 0.5 s. Test: a bus that is down is called again within 62 ms each time where the grace is 240 ms.

--- a/manager/src/main/java/calicovale/manager/ManagerProcess.java
+++ b/manager/src/main/java/calicovale/manager/ManagerProcess.java
@@ -72,7 +72,7 @@
     private InetSocketAddress begin() throws IOException {
         manager = new SessionManager(loop, config);
         bus = new EventBus(loop, new SplittableRandom(config.seed()), manager.log(LOG), config.bus(), config.knownOffset(),
-                manager::onBus, this::busLost);
+                config.platform().controller().rules().drainGraceMs(), manager::onBus, this::busLost);
         bus.open();
         loop.schedule(COUNTS_MS, this::tellCounts);
         return manager.open(config.listen());
--- a/manager/src/main/java/calicovale/manager/bus/EventBus.java
+++ b/manager/src/main/java/calicovale/manager/bus/EventBus.java
@@ -25,11 +25,16 @@
     private static final double SILENT_MS = 2100;
     /** Ms by which that is spread: all managers' watches fall silent together, and the bus would have all their calls at once. */
     private static final double SILENT_SPREAD_MS = 400;
-    /** Ms for a connection to stand. */
+    /** Most ms for a connection to stand, between the first two tries, and between later ones. */
     private static final double CONNECT_MS = 400;
-    /** Ms between the first two tries, and the longest between later ones. */
     private static final double FIRST_MS = 150;
-    private static final double MOST_MS = 800;
+    private static final double MOST_MS = 500;
+    /**
+     * Part of a drain's grace that each of these may take at most: a drain counts as told once the bus is back, so a try that was lost
+     * just before and the wait for the next must leave time to heed it.
+     */
+    private static final double GRACE_PART = 0.25;
+    private static final double LEAST_MS = 25;
 
     private final EventLoop loop;
     private final LimitedLog log;
@@ -37,6 +42,7 @@
     private final Runnable lost;
     private final Backoff backoff;
     private final double silentMs;
+    private final double connectMs;
     private InetSocketAddress address;
     private Link link;
     private Timer again;
@@ -44,16 +50,23 @@
     /** The last event that was known when a gap behind it was asked for; -1: none was. */
     private long gapAfter = -1;
 
-    /** {@code last} is the number of the last event that is known; {@code lost} hears whenever the bus has to be asked again. */
+    /**
+     * Asks from event {@code last} on.
+     *
+     * @param graceMs for how long a drain that was told need not be heeded
+     * @param lost hears whenever the bus has to be asked again
+     */
     public EventBus(EventLoop loop, RandomGenerator random, LimitedLog log, InetSocketAddress address, long last,
-            Consumer<BusEvent> listener, Runnable lost) {
+            double graceMs, Consumer<BusEvent> listener, Runnable lost) {
         this.loop = loop;
         this.lost = lost;
         this.log = log;
         this.address = address;
         this.last = last;
         this.listener = listener;
-        backoff = new Backoff(FIRST_MS, MOST_MS, random);
+        double most = graceMs <= 0 ? MOST_MS : Math.max(LEAST_MS, GRACE_PART * graceMs);
+        connectMs = Math.min(CONNECT_MS, most);
+        backoff = new Backoff(Math.min(FIRST_MS, most), Math.min(MOST_MS, most), random);
         silentMs = SILENT_MS + SILENT_SPREAD_MS * random.nextDouble();
     }
 
@@ -91,7 +104,7 @@
             again = null;
         }
         link = new Link();
-        link.connection = loop.connect(address, "bus", CONNECT_MS, link);
+        link.connection = loop.connect(address, "bus", connectMs, link);
         link.watch();
     }
 
--- a/manager/src/test/java/calicovale/manager/OrdersTest.java
+++ b/manager/src/test/java/calicovale/manager/OrdersTest.java
@@ -350,6 +350,22 @@
         }
     }
 
+    @Test
+    void aBusThatIsDownIsTriedWithinADrainsGrace() throws Exception {
+        try (Rig rig = new Rig(1, 256, 240)) {
+            assertEquals("from 1", rig.bus.nextAsked());
+            rig.clock.stop();
+            rig.bus.server.close();
+            rig.bus.breakOff();
+            rig.await("bus.broke", 1);
+            // a quarter of the grace for each wait, however long it has been down
+            for (int i = 1; i < 10; i++) {
+                rig.clock.advance(62);
+                rig.await("bus.broke", i + 1);
+            }
+        }
+    }
+
     @Test
     void aLineThatNeverEndsIsASilence() throws Exception {
         try (Rig rig = new Rig(1)) {
--- a/manager/src/test/java/calicovale/manager/Rig.java
+++ b/manager/src/test/java/calicovale/manager/Rig.java
@@ -37,6 +37,7 @@
     static final byte[] GIVEN = "given".getBytes(StandardCharsets.US_ASCII);
     private static final InetAddress HERE = InetAddress.getLoopbackAddress();
     private static final long WAIT_S = 10;
+    private static final int GRACE_MS = 2000;
 
     final List<Box> boxes = new ArrayList<>();
     final Bus bus = new Bus();
@@ -49,10 +50,15 @@
     }
 
     Rig(int servers, int sockets) throws IOException, InvalidDocumentException {
+        this(servers, sockets, GRACE_MS);
+    }
+
+    Rig(int servers, int sockets, int graceMs) throws IOException, InvalidDocumentException {
         for (int i = 0; i < servers; i++) {
             boxes.add(new Box());
         }
-        process = new ManagerProcess(ManagerConfig.read("config", config(bus.port(), sockets)), clock);
+        process = new ManagerProcess(ManagerConfig.read("config", config(bus.port(), sockets)
+                .replace("\"drainGraceMs\":" + GRACE_MS, "\"drainGraceMs\":" + graceMs)), clock);
         // the worst order: what may start an attempt is read before the news of viewers
         process.loop().execute(() -> process.loop().readOrder(Comparator.comparing(Connection::accepted)));
     }
