A manager listens once it knows what the bus told while it came up

Cause: ManagerProcess opened the listener in the same message as the call to the bus, so the first set-ups were decided on the list of the configuration, which is as old as the start; what came since counts as told. Change: it listens once the bus has written its number, or 250 ms after it was asked, or after 1.5 s where it does not answer. Test: a bus that tells of drains as soon as it is asked; they are known when the process listens, and no attempt goes out.

--- a/manager/src/main/java/calicovale/manager/ManagerProcess.java
+++ b/manager/src/main/java/calicovale/manager/ManagerProcess.java
@@ -13,6 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -61,21 +62,26 @@
         loop = new EventLoop("manager", clock, LIMITS, Tap.NONE).start();
         // a process that lives and serves nobody is worse than one that is started anew
         loop.whenEnded(ended::countDown);
+        // what was told while this process came up counts as told: nothing is sent before it is known
+        CompletableFuture<Void> caughtUp = new CompletableFuture<>();
+        loop.whenEnded(() -> caughtUp.complete(null));
         try {
-            address = loop.call(this::begin);
+            loop.call(() -> begin(() -> caughtUp.complete(null)));
+            caughtUp.join();
+            address = loop.call(() -> manager.open(config.listen()));
         } catch (IllegalStateException e) {
             loop.close();
             throw new IOException(e.getMessage(), e);
         }
     }
 
-    private InetSocketAddress begin() throws IOException {
+    private boolean begin(Runnable caughtUp) {
         manager = new SessionManager(loop, config);
         bus = new EventBus(loop, new SplittableRandom(config.seed()), manager.log(LOG), config.bus(), config.knownOffset(),
                 config.platform().controller().rules().drainGraceMs(), manager::onBus, this::busLost);
-        bus.open();
+        bus.open(caughtUp);
         loop.schedule(COUNTS_MS, this::tellCounts);
-        return manager.open(config.listen());
+        return true;
     }
 
     private void tellCounts() {
--- a/manager/src/main/java/calicovale/manager/bus/EventBus.java
+++ b/manager/src/main/java/calicovale/manager/bus/EventBus.java
@@ -35,6 +35,10 @@
      */
     private static final double GRACE_PART = 0.25;
     private static final double LEAST_MS = 25;
+    /** Ms in which the bus writes what came since, once asked: it does so at once. */
+    private static final double SETTLE_MS = 250;
+    /** Ms for which a start waits for a bus that does not answer: a start is due within 10 s, whatever the bus does. */
+    private static final double START_MS = 1500;
 
     private final EventLoop loop;
     private final LimitedLog log;
@@ -46,6 +50,7 @@
     private InetSocketAddress address;
     private Link link;
     private Timer again;
+    private Runnable toldOnce;
     private long last;
     /** The last event that was known when a gap behind it was asked for; -1: none was. */
     private long gapAfter = -1;
@@ -70,11 +75,24 @@
         silentMs = SILENT_MS + SILENT_SPREAD_MS * random.nextDouble();
     }
 
-    /** Connects; to be called on the loop. */
-    public void open() {
+    /**
+     * Connects; to be called on the loop. {@code caughtUp} is called once, when the bus has told what came since the last event that is
+     * known, or after a while if it does not answer.
+     */
+    public void open(Runnable caughtUp) {
+        toldOnce = caughtUp;
+        loop.schedule(START_MS, this::caughtUp);
         connect();
     }
 
+    private void caughtUp() {
+        Runnable body = toldOnce;
+        toldOnce = null;
+        if (body != null) {
+            body.run();
+        }
+    }
+
     /** The bus is elsewhere now; the numbers go on. */
     public void moveTo(InetSocketAddress next) {
         if (next.equals(address)) {
@@ -133,6 +151,11 @@
         @Override
         public void onOpen(Connection c) {
             c.write(ByteBuffer.wrap(("from " + last + "\n").getBytes(StandardCharsets.US_ASCII)));
+            loop.schedule(SETTLE_MS, () -> {
+                if (link == this) {
+                    caughtUp();
+                }
+            });
         }
 
         @Override
@@ -165,6 +188,7 @@
                         askAgain("bus.gap", "the last event is " + number + ", here it is " + last);
                     } else {
                         backoff.reset();
+                        caughtUp();
                     }
                     return;
                 }
--- a/manager/src/test/java/calicovale/manager/OrdersTest.java
+++ b/manager/src/test/java/calicovale/manager/OrdersTest.java
@@ -5,11 +5,15 @@
 
 import calicovale.manager.Rig.Box;
 import calicovale.manager.Rig.Peer;
+import calicovale.manager.config.ManagerConfig;
+import calicovale.protocols.net.Clock;
 import calicovale.protocols.signal.Cause;
 import calicovale.protocols.signal.Message;
 import calicovale.protocols.signal.MessageType;
 import calicovale.protocols.signal.Parameter;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -350,6 +354,21 @@
         }
     }
 
+    @Test
+    void whatWasToldWhileTheProcessCameUpIsKnownBeforeItListens() throws Exception {
+        try (Rig form = new Rig(1); Rig.Bus bus = new Rig.Bus()) {
+            int port = form.boxes.get(0).port();
+            bus.answer = Rig.event(2, Rig.entry("s-0", port, "terminating", 0), Rig.entry("s-9", port + 1, "terminating", 0)) + "\n";
+            try (ManagerProcess process = new ManagerProcess(ManagerConfig.read("config", form.config(bus.port(), 256)), Clock.system());
+                    Peer viewer = new Peer(new Socket(InetAddress.getLoopbackAddress(), process.address().getPort()))) {
+                assertEquals(2, process.counts().get("servers"));
+                viewer.send(Rig.setUp(1));
+                assertEquals(Cause.CONGESTION, viewer.next().cause());
+                assertEquals(0, process.counts().getOrDefault("attempts", 0L));
+            }
+        }
+    }
+
     @Test
     void aBusThatIsDownIsTriedWithinADrainsGrace() throws Exception {
         try (Rig rig = new Rig(1, 256, 240)) {
--- a/manager/src/test/java/calicovale/manager/Rig.java
+++ b/manager/src/test/java/calicovale/manager/Rig.java
@@ -441,6 +441,8 @@
         final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
         final ServerSocket server;
         private volatile Socket newest;
+        /** Written whenever it is asked. */
+        volatile String answer = "";
 
         Bus() throws IOException {
             this(0);
@@ -457,6 +459,9 @@
                         line.append((char) c);
                     }
                     newest = socket;
+                    if (!answer.isEmpty()) {
+                        write(answer);
+                    }
                     asked.add(line.toString());
                 }
             });
