The test of a late listener fails without the wait: the bus answers late, on a clock that stands still

Without the wait the test had passed: the bus's answer overtook the count. The stand-in now answers after 100 ms and the manager's clock stands still, so only the bus's number can end its wait.

--- a/manager/src/test/java/calicovale/manager/OrdersTest.java
+++ b/manager/src/test/java/calicovale/manager/OrdersTest.java
@@ -6,7 +6,6 @@
 import calicovale.manager.Rig.Box;
 import calicovale.manager.Rig.Peer;
 import calicovale.manager.config.ManagerConfig;
-import calicovale.protocols.net.Clock;
 import calicovale.protocols.signal.Cause;
 import calicovale.protocols.signal.Message;
 import calicovale.protocols.signal.MessageType;
@@ -358,8 +357,12 @@
     void whatWasToldWhileTheProcessCameUpIsKnownBeforeItListens() throws Exception {
         try (Rig form = new Rig(1); Rig.Bus bus = new Rig.Bus()) {
             int port = form.boxes.get(0).port();
-            bus.answer = Rig.event(2, Rig.entry("s-0", port, "terminating", 0), Rig.entry("s-9", port + 1, "terminating", 0)) + "\n";
-            try (ManagerProcess process = new ManagerProcess(ManagerConfig.read("config", form.config(bus.port(), 256)), Clock.system());
+            bus.answer = Rig.event(2, Rig.entry("s-0", port, "terminating", 0), Rig.entry("s-9", port + 1, "terminating", 0)) + "\n2\n";
+            // slower than a process that does not wait for it, and no time passes for one that does
+            bus.answerAfterMs = 100;
+            Rig.ShiftedClock clock = new Rig.ShiftedClock();
+            clock.stop();
+            try (ManagerProcess process = new ManagerProcess(ManagerConfig.read("config", form.config(bus.port(), 256)), clock);
                     Peer viewer = new Peer(new Socket(InetAddress.getLoopbackAddress(), process.address().getPort()))) {
                 assertEquals(2, process.counts().get("servers"));
                 viewer.send(Rig.setUp(1));
--- a/manager/src/test/java/calicovale/manager/Rig.java
+++ b/manager/src/test/java/calicovale/manager/Rig.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 
 /** A manager on loopback between stand-ins: video servers, the event bus and viewers, all told what to say by the test. */
@@ -443,6 +444,7 @@
         private volatile Socket newest;
         /** Written whenever it is asked. */
         volatile String answer = "";
+        volatile long answerAfterMs;
 
         Bus() throws IOException {
             this(0);
@@ -460,6 +462,7 @@
                     }
                     newest = socket;
                     if (!answer.isEmpty()) {
+                        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(answerAfterMs));
                         write(answer);
                     }
                     asked.add(line.toString());
