--- a/manager/src/main/java/calicovale/manager/SessionManager.java
+++ b/manager/src/main/java/calicovale/manager/SessionManager.java
@@ -79,7 +79,7 @@
     private final double longestMs;
     /** Sessions handed over at servers that the list has not named yet; the controller hears of them once it has. */
     private final Map<Session, Takeover> unlisted = new LinkedHashMap<>();
-    /** Sessions that ended before they were handed over, by whether their server told so; for a while. */
+    /** Sessions that ended before they were handed over, by whether their server told so; the latest of them. */
     private final Map<Long, Boolean> endedUnheld = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
