--- a/review/standin/World.java
+++ b/review/standin/World.java
@@ -24,6 +24,8 @@
     static final int COULD_NOT_RUN = 2;
     /** Time in ms after which a case ends as one that could not run. */
     private static final double LONGEST_MS = 114_000;
+    /** Most starts of a session manager whose port another program takes. */
+    private static final int MOST_STARTS = 4;
 
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     final Loop loop = new Loop();
@@ -34,6 +36,8 @@
     InetSocketAddress listen;
     Bus bus;
     private int verdict = COULD_NOT_RUN;
+    private Runnable startAgain;
+    private int starts;
 
     World(String caseFolder) throws IOException {
         record = Files.newBufferedWriter(Path.of(caseFolder, "record.txt"));
@@ -111,12 +115,23 @@
         }
     }
 
-    /** Starts a session manager with the deploy file's {@code run}. {@code settings} is a JSON object. */
+    /**
+     * Starts a session manager with the deploy file's {@code run}, on a free port. If another program takes the port
+     * before it listens, {@link #whenReady} starts it again on another one.
+     *
+     * @param entries the whole list of video servers
+     * @param settings a JSON object
+     */
     void startManager(int memoryMb, int sockets, List<String> entries, String settings) throws IOException {
-        startManager(memoryMb, sockets, entries, settings, freePort());
-    }
-
-    void startManager(int memoryMb, int sockets, List<String> entries, String settings, int port) throws IOException {
+        startAgain = () -> {
+            try {
+                startManager(memoryMb, sockets, entries, settings);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        };
+        starts++;
+        int port = freePort();
         Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$")
                 .matcher(Files.readString(Path.of("deploy/balancer.toml")));
         if (!run.find()) {
@@ -124,6 +139,7 @@
         }
         listen = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         String address = "127.0.0.1:" + port;
+        String known = bus.first(entries);
         Path config = folder.resolve("config.json");
         Files.writeString(
                 config,
@@ -136,7 +152,7 @@
                                 sockets,
                                 bus.port(),
                                 bus.last(),
-                                bus.first(entries),
+                                known,
                                 settings));
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run.group(1));
         builder.environment().put("PROXY_NAME", "n0");
@@ -179,6 +195,10 @@
         conn.onClosed = () -> {
             if (!passed[0] && nowMs() < untilMs && manager.isAlive()) {
                 loop.after(50, () -> whenReady(then, untilMs));
+            } else if (!passed[0] && starts < MOST_STARTS && logTail(50).toString().contains("Address already in use")) {
+                record("the port was taken by another program");
+                startAgain.run();
+                whenReady(then, untilMs);
             } else if (!passed[0]) {
                 end(COULD_NOT_RUN, "the session manager did not start: " + logTail(5));
             }
