--- a/review/standin/Front.java
+++ b/review/standin/Front.java
@@ -44,7 +44,9 @@
         long id = random.nextLong();
         asked.put(id, world.nowMs());
         sent++;
-        conn.send(setUp(id, sessionClass, home, copies, top, waitMs));
+        Wire.Message message = setUp(id, sessionClass, home, copies, top, waitMs);
+        world.record("front: sends " + message + " " + sessionClass + " " + message.text(Wire.EXTRAS) + ", waits " + waitMs + " ms");
+        conn.send(message);
     }
 
     Wire.Message setUp(long id, String sessionClass, int home, int copies, int top, int waitMs) {
--- a/review/standin/GrowthCase.java
+++ b/review/standin/GrowthCase.java
@@ -64,6 +64,7 @@
      * left, and again with new ids once all are turned away.
      */
     private void badClients() {
+        record(BAD_CLIENTS + " bad clients connect and send " + AT_ONCE + " set-ups each, again once all are turned away");
         try {
             Loop ownLoop = new Loop();
             for (int i = 0; i < BAD_CLIENTS; i++) {
