Count requests for the attempt budget in fixed memory

Cause: SessionController kept the clock time of each request, and of each further attempt, in a queue that was shortened only when a further attempt was considered, and never where the settings state no budget.

Change: RetryBudget counts both in 256 buckets of time, so the memory is fixed whatever the rate. Requests leave the count up to a bucket early and attempts up to a bucket late, the strict side of the rule.

--- a/controller/src/main/java/calicovale/SessionController.java
+++ b/controller/src/main/java/calicovale/SessionController.java
@@ -187,10 +187,6 @@
     // Time in ms after which a server that is gone is forgotten; no list of servers is late by that much.
     private static final double FORGET_SERVER_MS = 60_000;
 
-    // Margin in ms at both ends of the budget's window: the longest delay with which a request or an attempt arrives;
-    // a connect takes 250 ms.
-    private static final double BUDGET_WINDOW_MARGIN_MS = 500;
-
     // Shortest time in ms before the list of servers is requested again after a failure. Each wait adds a random part
     // of up to the same length.
     private static final double LIST_RETRY_MS = 1500;
@@ -230,9 +226,7 @@
     private final LinkedHashMap<String, Session> sessions = new LinkedHashMap<>();
     // Sessions per class and title, set-ups included.
     private final Map<String, Integer> seatsTaken = new HashMap<>();
-    // Clock times for the budget of further attempts.
-    private final ArrayDeque<Double> requestTimes = new ArrayDeque<>();
-    private final ArrayDeque<Double> extraAttemptTimes = new ArrayDeque<>();
+    private final RetryBudget retryBudget;
     // Rate in kB/s, and worth per kB of the step up to a rung; both by class and rung.
     private final double[][] rateKb;
     private final double[][] worthPerKb;
@@ -290,6 +284,7 @@
             throw new IllegalArgumentException("settings and actions must not be null");
         config = settings;
         media = settings.media();
+        retryBudget = new RetryBudget(settings.rules());
         hostActions = actions;
         now = nowMs;
         startedAt = lastTickAt = nowMs;
@@ -370,7 +365,7 @@
 
     private void onRequest(Request request) {
         checkRequest(request);
-        requestTimes.addLast(now);
+        retryBudget.recordRequest(now);
         Session session = new Session(request);
         countTenantRequest(request);
         sessions.put(request.id(), session);
@@ -397,7 +392,7 @@
             refuseOrFail(session);
             return;
         }
-        if (!firstAttempt) extraAttemptTimes.addLast(now);
+        if (!firstAttempt) retryBudget.recordFurtherAttempt(now);
         session.server = server;
         session.sentAt = server.lastAttemptAt = now;
         session.triedServers.add(server.id);
@@ -427,18 +422,7 @@
         boolean tokenExpired = session.sessionClass.effect() == Effect.TOKEN
                 && now - session.tokenStartedAt >= session.sessionClass.tokenMs();
         if (session.mayHaveRun && (session.sessionClass.effect() == Effect.SIDE_EFFECT || tokenExpired)) return false;
-        if (config.rules().extraFree() < 0) return true;
-        // The rule counts requests and attempts where they arrive, so both ends of its window may differ from those
-        // seen here. The margin is on the strict side: attempts stay in the count longer, requests leave it earlier.
-        double windowMs = config.rules().extraWindowMs();
-        double windowStart = now - windowMs;
-        double marginMs = Math.min(BUDGET_WINDOW_MARGIN_MS, windowMs / 10);
-        while (!extraAttemptTimes.isEmpty() && extraAttemptTimes.peekFirst() < windowStart - marginMs)
-            extraAttemptTimes.removeFirst();
-        while (!requestTimes.isEmpty() && requestTimes.peekFirst() <= windowStart + marginMs)
-            requestTimes.removeFirst();
-        return extraAttemptTimes.size() + 1
-                <= config.rules().extraFree() + config.rules().extraRatio() * requestTimes.size();
+        return retryBudget.allowsFurtherAttempt(now);
     }
 
     /**
