Remove counts of seats and shared streams when they reach zero

Titles come from viewers, so both tables grew without a bound.

Change: addToCount removes an entry at 0. Decisions are the same, because a missing entry reads as 0.

--- a/controller/src/main/java/calicovale/SessionController.java
+++ b/controller/src/main/java/calicovale/SessionController.java
@@ -1317,16 +1317,21 @@
         server.ownKb = Math.max(
                 0, server.ownKb + sign * rateKb[session.classIndex][session.rung] * (joins ? media.join() : 1));
         server.ownWorth = Math.max(0, server.ownWorth + sign * session.sessionClass.worth());
-        if (streamKey != null) server.streamSessions.merge(streamKey, sign, Integer::sum);
+        if (streamKey != null) addToCount(server.streamSessions, streamKey, sign);
         if (sign > 0) server.sessions.add(session);
         else server.sessions.remove(session);
-        if (session.sessionClass.seats() > 0) seatsTaken.merge(session.seatKey(), sign, Integer::sum);
+        if (session.sessionClass.seats() > 0) addToCount(seatsTaken, session.seatKey(), sign);
         server.recordDemandChange(now, server.ownKb - ownKbBefore);
         totalOwnKb += server.ownKb - ownKbBefore;
         placedSessions += sign;
         stateVersion++;
     }
 
+    /** Changes a count and removes it at 0, so that the map does not keep every key that was ever used. */
+    private static void addToCount(Map<String, Integer> counts, String key, int change) {
+        counts.merge(key, change, (count, added) -> count + added == 0 ? null : count + added);
+    }
+
     /** Counts a new viewer in its tenant's request rate; repeats, moves and returning viewers were counted before. */
     private void countTenantRequest(Request request) {
         if (request.tenant() >= tenantRequestRate.length || request.retry() || request.returning() || request.moved())
--- a/controller/src/test/java/calicovale/ControllerMemoryTest.java
+++ b/controller/src/test/java/calicovale/ControllerMemoryTest.java
@@ -2,8 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import calicovale.ControllerApi.Effect;
+import calicovale.ControllerApi.Group;
+import calicovale.ControllerApi.Outcome;
+import calicovale.ControllerApi.Request;
 import calicovale.ControllerApi.Rules;
+import calicovale.ControllerApi.SessionClass;
 import java.lang.management.ManagementFactory;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -57,7 +63,21 @@
         ControllerHarness harness = new ControllerHarness().start().addServers(2);
         assertNoGrowth(harness, 300_000, (h, number) -> {
             String id = "r" + number;
-            h.request(id, 0, 0).ended(id, ControllerApi.Outcome.MOOT).ended(id, ControllerApi.Outcome.MOOT);
+            h.request(id, 0, 0).ended(id, Outcome.MOOT).ended(id, Outcome.MOOT);
+        });
+    }
+
+    /** Guards against growth: the numbers of seats and of shared streams kept an entry for each title ever played. */
+    @Test
+    void titlesThatNoSessionPlaysAnyMoreTakeNoMemory() {
+        ControllerHarness harness = new ControllerHarness();
+        harness.classes = List.of(new SessionClass(1, 1000, 4000, Effect.PURE, Group.ALL, 0, 0, 3, 1, true, 2));
+        assertNoGrowth(harness.start().addServers(2), 100_000, (h, number) -> {
+            String id = "r" + number;
+            String title = "title " + number;
+            h.controller.handle(
+                    h.now, new Request(id, 0, 0, "v", title, h.now + 4000, 0, 0, 12, 0, false, false, false));
+            h.started(id).ended(id, Outcome.OK);
         });
     }
 }
