Connect in turn to servers whose links made room for others

Cause: a link that was closed to make room was treated like a broken one. linkClosed connected to its server again with a delay of 0, and the check every 100 ms did the same; each closed the only link of another server.

Change: a link closed for room is marked; its server is connected to again 3.2 to 4 s later, by whose turn it is, or at once when a link is free.

--- a/manager/src/main/java/calicovale/manager/servers/ServerLink.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerLink.java
@@ -25,9 +25,13 @@
      * previous process.
      */
     boolean unusable;
+    /** Whether it was closed to make room for a link to another server. */
+    boolean evicted;
 
     /** Clock time, in ms, when the link began to be opened. */
     final double openedAtMs;
+    /** Clock time, in ms, when the link was open; 0: it has not been yet. */
+    double establishedAtMs;
     /** Clock time, in ms, of the last message sent or received. */
     double lastUsedAtMs;
     /** Clock time, in ms, when something was last received. */
@@ -83,7 +87,8 @@
         }
         open = true;
         everOpen = true;
-        lastReceivedAtMs = pool.nowMs();
+        establishedAtMs = pool.nowMs();
+        lastReceivedAtMs = establishedAtMs;
         List<Message> messages = List.copyOf(queued);
         queued.clear();
         for (Message message : messages) {
--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -21,6 +21,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -63,6 +64,11 @@
     private static final int MAX_DOUBLINGS = 3;
     /** Upper bound, in ms, of the delay between reconnects. */
     private static final double MAX_RECONNECT_DELAY_MS = 1000;
+    /**
+     * Upper bound, in ms, of the time until a server with playing sessions is connected to again after its last link was
+     * closed to make room. A release that waits there for a link must reach the viewer within 8 s.
+     */
+    private static final double EVICTED_RECONNECT_MS = 4000;
     /** Number of times that unsent releases are sent again, on a new link each time, while no link opens. */
     private static final int MAX_RELEASE_RESENDS = 3;
     /**
@@ -300,7 +306,7 @@
         if (best != null && best.attempts.isEmpty() || linkCount >= settings.maxLinks() && best != null) {
             return best;
         }
-        if (linkCount >= settings.maxLinks() && !closeOldestIdleLink()) {
+        if (!makeRoom()) {
             log.warn(
                     "server.no-link-free",
                     "no link to " + server + ": " + linkCount + " of at most " + settings.maxLinks()
@@ -315,26 +321,25 @@
         return 2 * link.attempts.size() + (link.open ? 0 : 1);
     }
 
-    /** Closes the link that has been idle for longest; returns false if none is idle. */
-    private boolean closeOldestIdleLink() {
-        ServerLink oldest = null;
-        for (VideoServer server : servers.values()) {
-            for (ServerLink link : server.links) {
-                if (link.open
-                        && link.attempts.isEmpty()
-                        && (oldest == null || link.lastUsedAtMs < oldest.lastUsedAtMs)) {
-                    oldest = link;
-                }
-            }
+    /** Returns whether another link may be opened; at the bound on links, closes an idle one to make that possible. */
+    private boolean makeRoom() {
+        if (linkCount < settings.maxLinks()) {
+            return true;
         }
-        if (oldest != null) {
-            oldest.connection.close();
+        ServerLink idle = IdleLinks.leastUseful(servers.values(), sessions, nowMs());
+        if (idle == null) {
+            return false;
         }
-        return oldest != null;
+        log.count("server.link-evicted");
+        idle.evicted = true;
+        idle.server.evictedAtMs = nowMs();
+        idle.connection.close();
+        return true;
     }
 
     private ServerLink connect(VideoServer server) {
         ServerLink link = new ServerLink(this, server, nowMs());
+        server.lastCheckedAtMs = link.openedAtMs;
         server.links.add(link);
         linkCount++;
         link.connection = loop.connect(server.address, CONNECTION_KIND, settings.connectTimeoutMs(), link);
@@ -418,7 +423,7 @@
         for (ServerLink link : server.links) {
             best = !link.unusable && (best == null || link.open && !best.open) ? link : best;
         }
-        if (best == null && (linkCount < settings.maxLinks() || closeOldestIdleLink())) {
+        if (best == null && makeRoom()) {
             best = connect(server);
         }
         if (best != null) {
@@ -437,10 +442,7 @@
     /** Opens a link to a server with playing sessions, unless one is being opened. */
     private void openLinkIfNeeded(VideoServer server) {
         boolean connecting = server.links.stream().anyMatch(link -> !link.open);
-        if (!connecting
-                && server.address != null
-                && sessions.playingCountAt(server.number) > 0
-                && (linkCount < settings.maxLinks() || closeOldestIdleLink())) {
+        if (!connecting && server.address != null && sessions.playingCountAt(server.number) > 0 && makeRoom()) {
             connect(server);
         }
     }
@@ -579,6 +581,10 @@
     }
 
     void linkClosed(ServerLink link, boolean everOpen, ConnectFailedException connectFailure, List<Message> releases) {
+        if (link.evicted) {
+            // nothing is in progress on it; the server is connected to again by the periodic check
+            return;
+        }
         VideoServer server = link.server;
         double nowMs = nowMs();
         boolean hasUsableLink = server.hasUsableLink();
@@ -658,6 +664,7 @@
     private void sweep() {
         loop.schedule(SWEEP_INTERVAL_MS, this::sweep);
         double nowMs = nowMs();
+        List<VideoServer> unlinked = new ArrayList<>();
         for (VideoServer server : List.copyOf(servers.values())) {
             int spareIdleLinks = 0;
             for (ServerLink link : List.copyOf(server.links)) {
@@ -672,18 +679,18 @@
                 }
             }
             boolean hasSessions = sessions.playingCountAt(server.number) > 0;
-            double silenceTimeoutMs = settings.silenceTimeoutMs() * (1 + server.silenceJitter);
+            double silenceTimeoutMs = settings.silenceTimeoutMs() * (1 + server.timingJitter);
             if (hasSessions
                     && server.address == null
                     && nowMs - Math.max(server.lastReceivedAtMs, server.firstKnownAtMs) > SILENT_BEFORE_DEAD_MS) {
                 endSessionsAndLinks(server, server.listed ? "it has no address" : "the server list does not name it");
+            } else if (hasSessions && server.links.isEmpty()) {
+                unlinked.add(server);
             } else if (hasSessions
                     && nowMs - Math.max(server.lastReceivedAtMs, server.lastCheckedAtMs) > silenceTimeoutMs) {
                 server.lastCheckedAtMs = nowMs;
                 log.count("server.looked-at");
                 openLinkIfNeeded(server);
-            } else if (hasSessions && server.links.isEmpty() && server.reconnectTimer == null) {
-                openLinkIfNeeded(server);
             }
             if ((server.gone || !server.listed)
                     && !hasSessions
@@ -691,6 +698,21 @@
                 forget(server);
             }
         }
+        connectToUnlinked(unlinked, nowMs);
+    }
+
+    /**
+     * Connects to servers with playing sessions and without a link, where the bound on links permits that at once, else
+     * in turn: each again {@link #EVICTED_RECONNECT_MS} after its last link was closed to make room.
+     */
+    private void connectToUnlinked(List<VideoServer> unlinked, double nowMs) {
+        unlinked.sort(Comparator.comparingDouble(server -> server.evictedAtMs));
+        for (VideoServer server : unlinked) {
+            double dueMs = server.evictedAtMs + EVICTED_RECONNECT_MS * (1 - server.timingJitter);
+            if (server.reconnectTimer == null && (nowMs >= dueMs || linkCount < settings.maxLinks())) {
+                openLinkIfNeeded(server);
+            }
+        }
     }
 
     private void forget(VideoServer server) {
--- a/manager/src/main/java/calicovale/manager/servers/VideoServer.java
+++ b/manager/src/main/java/calicovale/manager/servers/VideoServer.java
@@ -25,9 +25,12 @@
     final Set<ServerLink> links = new LinkedHashSet<>();
     final double firstKnownAtMs;
     double lastReceivedAtMs;
+    /** Time of the latest check whether it can be reached, which is made by opening a link. */
     double lastCheckedAtMs;
-    /** Fraction that is added to its silence timeout, so that managers do not all check it at the same time. */
-    final double silenceJitter;
+    /** Time at which a link was last closed to make room for another server's. */
+    double evictedAtMs = Double.NEGATIVE_INFINITY;
+    /** Fraction by which its timeouts vary, so that managers do not all connect to it at the same time. */
+    final double timingJitter;
     /** Number of consecutive refused connections. */
     int consecutiveRefusals;
     /** Time at which the first of them was refused. */
@@ -41,10 +44,10 @@
     /** Number of consecutive links that were lost before their queued releases were sent. */
     int releaseResends;
 
-    VideoServer(long number, String name, double nowMs, double silenceJitter) {
+    VideoServer(long number, String name, double nowMs, double timingJitter) {
         this.number = number;
         this.name = name;
-        this.silenceJitter = silenceJitter;
+        this.timingJitter = timingJitter;
         firstKnownAtMs = nowMs;
         lastReceivedAtMs = nowMs;
     }
--- a/manager/src/test/java/calicovale/manager/ManagerHarness.java
+++ b/manager/src/test/java/calicovale/manager/ManagerHarness.java
@@ -4,6 +4,7 @@
 import calicovale.protocols.json.InvalidDocumentException;
 import calicovale.protocols.net.Clock;
 import calicovale.protocols.net.Connection;
+import calicovale.protocols.signal.Cause;
 import calicovale.protocols.signal.Message;
 import calicovale.protocols.signal.MessageFramingException;
 import calicovale.protocols.signal.MessageType;
@@ -24,12 +25,14 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 
 /** Runs a manager on loopback with fake video servers, a fake event bus and viewers that the test controls. */
 final class ManagerHarness implements AutoCloseable {
@@ -59,15 +62,20 @@
     }
 
     ManagerHarness(int serverCount, int sockets, int graceMs) throws IOException, InvalidDocumentException {
+        this(
+                serverCount,
+                sockets,
+                config -> config.replace("\"drainGraceMs\":" + DRAIN_GRACE_MS, "\"drainGraceMs\":" + graceMs));
+    }
+
+    /** Starts a manager with an edited configuration. */
+    ManagerHarness(int serverCount, int sockets, UnaryOperator<String> configEdit)
+            throws IOException, InvalidDocumentException {
         for (int i = 0; i < serverCount; i++) {
             servers.add(new FakeServer());
         }
-        process = new ManagerProcess(
-                ManagerConfig.read(
-                        "config",
-                        config(bus.port(), sockets)
-                                .replace("\"drainGraceMs\":" + DRAIN_GRACE_MS, "\"drainGraceMs\":" + graceMs)),
-                clock);
+        process =
+                new ManagerProcess(ManagerConfig.read("config", configEdit.apply(config(bus.port(), sockets))), clock);
         // connections that may cause an attempt are read before those of viewers, which is the worst order
         process.loop().execute(() -> process.loop().readOrder(Comparator.comparing(Connection::accepted)));
     }
@@ -382,6 +390,9 @@
 
         final BlockingQueue<Received> received = new LinkedBlockingQueue<>();
         final List<Peer> peers = new CopyOnWriteArrayList<>();
+        /** Releases that are sent on the next connection too. */
+        private final Queue<Message> releasesForNextConnection = new ConcurrentLinkedQueue<>();
+
         private final ServerSocket listeningSocket;
 
         FakeServer() throws IOException {
@@ -395,6 +406,10 @@
                     Peer peer = new Peer(listeningSocket.accept());
                     peer.socket.setSoTimeout(0);
                     peer.readerEnded = new CountDownLatch(1);
+                    Message release;
+                    while ((release = releasesForNextConnection.poll()) != null) {
+                        peer.send(release);
+                    }
                     peers.add(peer);
                     startDaemon(() -> {
                         try {
@@ -433,6 +448,23 @@
             return setUp;
         }
 
+        /** Returns the connections that the manager has not closed. */
+        List<Peer> openPeers() {
+            return peers.stream()
+                    .filter(peer -> peer.readerEnded.getCount() > 0)
+                    .toList();
+        }
+
+        /** Ends a playing session: sends its release on an open connection, if any, and on the next one. */
+        void endSession(long sessionId) throws IOException {
+            Message release = Message.release(sessionId, Cause.NORMAL);
+            releasesForNextConnection.add(release);
+            List<Peer> open = openPeers();
+            if (!open.isEmpty()) {
+                open.get(open.size() - 1).send(release);
+            }
+        }
+
         /** Waits for a first connection. */
         void awaitConnection() throws InterruptedException {
             long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_S);
