Keep messages to servers until a link to them can be opened

A session that its viewer had ended then played on at its server.

Change: the message waits at the server, bounded and counted, and goes out on the next link to it; the periodic check opens one as soon as there is room. A drain counts such messages as unwritten.

Measured: LinkLimitTest.aReleaseWaitsWhileNoLinkToItsServerCanBeOpened fails before (a server got no release in 8 s) and passes now.

--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -69,6 +69,8 @@
      * closed to make room. A release that waits there for a link must reach the viewer within 8 s.
      */
     private static final double EVICTED_RECONNECT_MS = 4000;
+    /** Upper bound of messages that wait until a link to their server can be opened, for each server. */
+    private static final int MAX_WAITING_MESSAGES = 1024;
     /** Number of times that unsent releases are sent again, on a new link each time, while no link opens. */
     private static final int MAX_RELEASE_RESENDS = 3;
     /**
@@ -143,7 +145,9 @@
 
     /** Returns whether any message waits for a link to open. */
     public boolean hasQueuedMessages() {
-        return servers.values().stream().anyMatch(s -> s.links.stream().anyMatch(ServerLink::hasQueued));
+        return servers.values().stream()
+                .anyMatch(server -> !server.waitingMessages.isEmpty()
+                        || server.links.stream().anyMatch(ServerLink::hasQueued));
     }
 
     /** Returns the number of links that are open or being opened. */
@@ -343,6 +347,8 @@
         server.links.add(link);
         linkCount++;
         link.connection = loop.connect(server.address, CONNECTION_KIND, settings.connectTimeoutMs(), link);
+        server.waitingMessages.forEach(link::send);
+        server.waitingMessages.clear();
         return link;
     }
 
@@ -428,6 +434,14 @@
         }
         if (best != null) {
             best.send(message);
+        } else if (server.waitingMessages.size() < MAX_WAITING_MESSAGES) {
+            log.count("server.message-waits");
+            server.waitingMessages.add(message);
+        } else {
+            log.warn(
+                    "server.message-dropped",
+                    "a message to " + server + " is dropped, " + server.waitingMessages.size()
+                            + " messages wait there for a link");
         }
     }
 
@@ -678,6 +692,9 @@
                     link.connection.close();
                 }
             }
+            if (!server.waitingMessages.isEmpty() && server.address != null && makeRoom()) {
+                connect(server);
+            }
             boolean hasSessions = sessions.playingCountAt(server.number) > 0;
             double silenceTimeoutMs = settings.silenceTimeoutMs() * (1 + server.timingJitter);
             if (hasSessions
--- a/manager/src/main/java/calicovale/manager/servers/VideoServer.java
+++ b/manager/src/main/java/calicovale/manager/servers/VideoServer.java
@@ -1,8 +1,11 @@
 package calicovale.manager.servers;
 
 import calicovale.protocols.net.Timer;
+import calicovale.protocols.signal.Message;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -23,6 +26,9 @@
     double startedAtMs;
 
     final Set<ServerLink> links = new LinkedHashSet<>();
+    /** Messages that wait until a link can be opened, because all links are in use. */
+    final List<Message> waitingMessages = new ArrayList<>();
+
     final double firstKnownAtMs;
     double lastReceivedAtMs;
     /** Time of the latest check whether it can be reached, which is made by opening a link. */
--- a/manager/src/test/java/calicovale/manager/LinkLimitTest.java
+++ b/manager/src/test/java/calicovale/manager/LinkLimitTest.java
@@ -1,9 +1,12 @@
 package calicovale.manager;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import calicovale.manager.ManagerHarness.FakeServer;
 import calicovale.manager.ManagerHarness.Peer;
+import calicovale.protocols.signal.Cause;
+import calicovale.protocols.signal.Message;
 import calicovale.protocols.signal.MessageType;
 import java.util.HashSet;
 import java.util.Set;
@@ -79,4 +82,27 @@
             assertTrue(connectionsMade(harness) <= mostConnections, connectionsMade(harness) + " connections");
         }
     }
+
+    /** Guards against a dropped release: with no idle link to close, a message to a server was lost. */
+    @Test
+    void aReleaseWaitsWhileNoLinkToItsServerCanBeOpened() throws Exception {
+        try (ManagerHarness harness = newHarness();
+                Peer viewer = harness.acceptedViewer()) {
+            handOverOneSessionAtEachServer(harness, viewer);
+            // links were opened in this step, so none may be closed before the clock goes on
+            harness.clock.advance(STEP_MS);
+            harness.inOneLoopTurn(() -> {
+                for (int i = 0; i < SERVERS; i++) {
+                    viewer.send(Message.release(i + 1, Cause.NORMAL));
+                }
+            });
+            harness.awaitCount("left", SERVERS);
+            for (int ms = 0; ms < RELEASE_BOUND_MS; ms += STEP_MS) {
+                step(harness);
+            }
+            for (int i = 0; i < SERVERS; i++) {
+                assertEquals(i + 1, harness.servers.get(i).next().message().sessionId());
+            }
+        }
+    }
 }
