Tests: a fake server that stopped listening refuses connections at once

Cause: the counts showed one link open and none refused. The system goes on listening until the thread that waits in accept has left its call, so the manager's connect could still succeed and the release went out on it; the test then waited for a refusal that could not come. The manager was right.

Change: FakeServer.stopListening waits for that thread. The test's order and assertions are as before.

--- a/manager/src/test/java/calicovale/manager/ManagerHarness.java
+++ b/manager/src/test/java/calicovale/manager/ManagerHarness.java
@@ -394,6 +394,7 @@
         private final Queue<Message> releasesForNextConnection = new ConcurrentLinkedQueue<>();
 
         private final ServerSocket listeningSocket;
+        private final Thread acceptThread;
 
         FakeServer() throws IOException {
             this(0);
@@ -401,7 +402,7 @@
 
         FakeServer(int port) throws IOException {
             listeningSocket = new ServerSocket(port, 50, LOOPBACK);
-            startDaemon(() -> {
+            acceptThread = startDaemon(() -> {
                 while (true) {
                     Peer peer = new Peer(listeningSocket.accept());
                     peer.socket.setSoTimeout(0);
@@ -476,14 +477,25 @@
             }
         }
 
-        /** Refuses further connections; open ones stay. */
+        /**
+         * Refuses further connections; open ones stay. Waits for the thread that accepts connections, because the
+         * system listens until that thread has left its call.
+         */
         void stopListening() throws IOException {
             listeningSocket.close();
+            try {
+                acceptThread.join(TimeUnit.SECONDS.toMillis(TIMEOUT_S));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            if (acceptThread.isAlive()) {
+                throw new IOException("the thread that accepts connections does not end");
+            }
         }
 
         /** Stops listening and resets all connections, as a killed process does. */
         void kill() throws IOException {
-            listeningSocket.close();
+            stopListening();
             for (Peer peer : peers) {
                 if (!peer.socket.isClosed()) {
                     peer.socket.setSoLinger(true, 0);
@@ -566,7 +578,7 @@
         void run() throws IOException;
     }
 
-    private static void startDaemon(SocketTask task) {
+    private static Thread startDaemon(SocketTask task) {
         Thread thread = new Thread(() -> {
             try {
                 task.run();
@@ -576,5 +588,6 @@
         });
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 }
