Reconnect with a delay to servers that close each new connection

Bytes that were no valid message counted as a sign of life.

Measured: LinkLimitTest.aServerThatClosesEachConnectionIsConnectedToAfterADelay fails before (637 connections in 80 steps of a stopped clock, 68 allowed) and passes now.

--- a/manager/src/main/java/calicovale/manager/servers/ServerLink.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerLink.java
@@ -104,7 +104,6 @@
         lastReceivedAtMs = pool.nowMs();
         lastUsedAtMs = lastReceivedAtMs;
         server.lastReceivedAtMs = lastReceivedAtMs;
-        server.reconnectAttempts = 0;
         try {
             parser.feed(bytes, message -> {
                 pool.deferDecision(() -> handle(message));
@@ -125,6 +124,8 @@
         String fault = failed ? null : pool.handle(this, message);
         if (fault != null) {
             fail(fault);
+        } else if (!failed) {
+            server.reconnectAttempts = 0;
         }
     }
 
--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -643,7 +643,10 @@
                 && nowMs - server.lastReceivedAtMs > SILENT_BEFORE_DEAD_MS) {
             endSessionsAndLinks(server, "it cannot be reached");
         } else if (silent && server.reconnectTimer == null) {
-            server.reconnectTimer = loop.schedule(connectFailure == null ? 0 : reconnectDelayMs(server), () -> {
+            // at once only after a link that worked, because a server may accept connections and close them
+            boolean atOnce = connectFailure == null && server.reconnectAttempts == 0;
+            double delayMs = reconnectDelayMs(server);
+            server.reconnectTimer = loop.schedule(atOnce ? 0 : delayMs, () -> {
                 server.reconnectTimer = null;
                 if (!server.hasUsableLink()
                         || loop.clock().millis() - server.lastReceivedAtMs > settings.silenceTimeoutMs()) {
--- a/manager/src/main/java/calicovale/manager/servers/VideoServer.java
+++ b/manager/src/main/java/calicovale/manager/servers/VideoServer.java
@@ -45,7 +45,7 @@
     double unreachableSinceMs;
 
     Timer reconnectTimer;
-    /** Number of reconnect attempts since something was last received from it. */
+    /** Number of reconnect attempts since a valid message was last received from it. */
     int reconnectAttempts;
     /** Number of consecutive links that were lost before their queued releases were sent. */
     int releaseResends;
--- a/manager/src/test/java/calicovale/manager/LinkLimitTest.java
+++ b/manager/src/test/java/calicovale/manager/LinkLimitTest.java
@@ -23,6 +23,8 @@
     private static final int RELEASE_BOUND_MS = 8000;
     /** Time, in ms, between two connections to one server that no attempt needs. */
     private static final int RECONNECT_INTERVAL_MS = 3000;
+    /** Least time, in ms, between two connections to a server whose last one brought nothing. */
+    private static final int MIN_RECONNECT_DELAY_MS = 120;
     /** Step of the clock, in ms. */
     private static final int STEP_MS = 100;
 
@@ -105,4 +107,24 @@
             }
         }
     }
+
+    /** Guards against connecting without a pause to a server that accepts connections and closes them. */
+    @Test
+    void aServerThatClosesEachConnectionIsConnectedToAfterADelay() throws Exception {
+        try (ManagerHarness harness = newHarness();
+                Peer viewer = harness.acceptedViewer()) {
+            FakeServer server = harness.servers.get(0);
+            viewer.send(ManagerHarness.setUp(1, "talk", "home:0;copies:12;top:2;viewer:00a1;at:s-0"));
+            harness.awaitCount("handed-over", 1);
+            server.awaitConnection();
+            server.closesNewConnections = true;
+            server.peers.get(0).disconnect();
+            for (int ms = 0; ms < RELEASE_BOUND_MS; ms += STEP_MS) {
+                step(harness);
+            }
+            int mostConnections = 2 + RELEASE_BOUND_MS / MIN_RECONNECT_DELAY_MS;
+            assertTrue(server.peers.size() <= mostConnections, server.peers.size() + " connections");
+            assertTrue(server.peers.size() > 2, "it is tried again");
+        }
+    }
 }
--- a/manager/src/test/java/calicovale/manager/ManagerHarness.java
+++ b/manager/src/test/java/calicovale/manager/ManagerHarness.java
@@ -393,6 +393,9 @@
         /** Releases that are sent on the next connection too. */
         private final Queue<Message> releasesForNextConnection = new ConcurrentLinkedQueue<>();
 
+        /** Whether new connections are closed as soon as they are accepted. */
+        volatile boolean closesNewConnections;
+
         private final ServerSocket listeningSocket;
         private final Thread acceptThread;
 
@@ -412,6 +415,11 @@
                         peer.send(release);
                     }
                     peers.add(peer);
+                    if (closesNewConnections) {
+                        peer.readerEnded.countDown();
+                        peer.disconnect();
+                        continue;
+                    }
                     startDaemon(() -> {
                         try {
                             Message message;
