Send releases on connections whose set-ups are refused too

Cause: a release whose own connection is closed went only by a connection with a playing session, or waited 7 s for the next one. While all set-ups are refused there is none.

Change: PendingReleases sends such a release once on each connection that has sent a valid set-up, and keeps it until a connection with a playing session has carried it too, 7 s at most. Expired messages no longer stay queued until the next playing session.

--- a/manager/src/main/java/calicovale/manager/viewers/ViewerGateway.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerGateway.java
@@ -12,9 +12,10 @@
 import calicovale.protocols.signal.Parameter;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -27,19 +28,12 @@
     private static final String CONNECTION_KIND = "viewer";
     /** Interval, in ms, between checks for connections without valid messages. */
     private static final double SWEEP_INTERVAL_MS = 200;
-    /**
-     * Time, in ms, for which a release waits for a connection to be sent on; it must reach the viewer within 8 s of
-     * the session's end.
-     */
-    private static final double RELEASE_QUEUE_TIMEOUT_MS = 7000;
     /**
      * Number of protocol faults after which a connection is closed if they outnumber its valid messages. This stops
      * a peer that sends only invalid messages at full speed, and keeps a front's connection open when one of its many
      * viewers is faulty.
      */
     private static final int MAX_PROTOCOL_FAULTS = 8;
-    /** Upper bound of releases that wait for a connection. */
-    private static final int MAX_QUEUED_RELEASES = 4096;
 
     /** Receives the requests of viewers. */
     public interface Listener {
@@ -82,15 +76,13 @@
             boolean retry,
             boolean returning) {}
 
-    private record QueuedRelease(Message message, double untilMs) {}
-
     private final EventLoop loop;
     private final ViewerSettings settings;
     private final SessionTable sessions;
     private final RateLimitedLog log;
     private final Listener listener;
     private final Set<ViewerLink> links = new LinkedHashSet<>();
-    private final ArrayDeque<QueuedRelease> queuedReleases = new ArrayDeque<>();
+    private final PendingReleases pendingReleases = new PendingReleases();
     private EventLoop.Listener listeningSocket;
     private double answerDeadlineMs = Double.MAX_VALUE;
 
@@ -122,7 +114,7 @@
     public boolean isQuiet() {
         double nowMs = nowMs();
         return listeningSocket.acceptQueueDrained()
-                && queuedReleases.isEmpty()
+                && pendingReleases.isEmpty()
                 && links.stream()
                         .allMatch(link -> link.connection.pendingBytes() == 0
                                 && (link.partialSinceMs == 0
@@ -203,12 +195,22 @@
     }
 
     /**
-     * Counts a playing session of a connection and sends the queued releases on it, because the session shows that the
-     * connection belongs to a viewers' front.
+     * Counts a playing session of a connection and sends the pending releases on it for the last time, because the
+     * session shows that the connection belongs to a viewers' front.
      */
     private void countPlayingSession(ViewerLink link) {
         link.sessionsPlayed++;
-        sendQueuedReleases(link);
+        pendingReleases.sendOn(link);
+        pendingReleases.clear();
+    }
+
+    /** Counts a valid set-up of a connection and sends the pending releases on it with the decisions of this turn. */
+    private void countSetUp(ViewerLink link) {
+        countValidMessage(link);
+        link.hasSentSetUp = true;
+        if (pendingReleases.hasUnsentFor(link)) {
+            loop.defer(EventLoop.Phase.DECISIONS, () -> pendingReleases.sendOn(link));
+        }
     }
 
     private void handleSetUp(ViewerLink link, Message message) {
@@ -243,7 +245,7 @@
             rejectDuplicate(link, held);
             return;
         }
-        countValidMessage(link);
+        countSetUp(link);
         if (sessions.isFull() || link.awaitingAnswer.size() >= settings.maxSetUpsPerLink()) {
             log.warn(
                     sessions.isFull() ? "viewer.table-full" : "viewer.too-many-open",
@@ -351,46 +353,45 @@
 
     /**
      * Sends a message to the viewer of a session that was playing: on the session's own connection or, if that is
-     * closed, on another one with playing sessions, at once or when there is one. Connections without playing
-     * sessions are not used, because a message sent on them may reach no viewer.
+     * closed, on another one with playing sessions. If there is none, the message is kept until there is one, and is
+     * sent on all connections with a set-up, because one of them may belong to the viewer's front.
      */
     public void notifyViewer(Session session, Message message) {
-        ViewerLink link = (ViewerLink) session.requester();
-        if (link.connection.isClosed()) {
-            link = null;
-            for (ViewerLink other : links) {
-                link = other.sessionsPlayed > 0 && (link == null || other.lastUsedAtMs > link.lastUsedAtMs)
-                        ? other
-                        : link;
-            }
-        }
+        ViewerLink own = (ViewerLink) session.requester();
+        ViewerLink link = own.connection.isClosed() ? latestLinkWithPlayingSessions() : own;
         if (link != null) {
             link.send(message);
-        } else if (queuedReleases.size() < MAX_QUEUED_RELEASES) {
-            queuedReleases.add(new QueuedRelease(message, nowMs() + RELEASE_QUEUE_TIMEOUT_MS));
-        } else {
+            return;
+        }
+        if (!pendingReleases.add(message, nowMs())) {
             log.warn(
                     "viewer.release-dropped",
-                    "message for the viewer of session " + session.controllerId() + " dropped, " + queuedReleases.size()
-                            + " messages wait for a connection");
+                    "message for the viewer of session " + session.controllerId() + " dropped, "
+                            + pendingReleases.size() + " messages wait for a connection");
+            return;
         }
-    }
-
-    private void sendQueuedReleases(ViewerLink link) {
-        double nowMs = nowMs();
-        while (!queuedReleases.isEmpty()) {
-            QueuedRelease queued = queuedReleases.poll();
-            if (queued.untilMs() > nowMs) {
-                link.send(queued.message());
-            } else {
-                log.count("viewer.release-too-late");
+        log.count("viewer.release-pending");
+        for (ViewerLink other : List.copyOf(links)) {
+            if (other.hasSentSetUp) {
+                pendingReleases.sendOn(other);
             }
         }
     }
 
+    /** Returns the connection with playing sessions that was used last, or null. */
+    private ViewerLink latestLinkWithPlayingSessions() {
+        return links.stream()
+                .filter(link -> link.sessionsPlayed > 0)
+                .max(Comparator.comparingDouble(link -> link.lastUsedAtMs))
+                .orElse(null);
+    }
+
     private void sweep() {
         loop.schedule(SWEEP_INTERVAL_MS, this::sweep);
         double nowMs = nowMs();
+        for (int late = pendingReleases.removeExpired(nowMs); late > 0; late--) {
+            log.count("viewer.release-too-late");
+        }
         for (ViewerLink link : new ArrayList<>(links)) {
             boolean noValidMessage =
                     !link.hasSentValidMessage && nowMs - link.openedAtMs > settings.validMessageTimeoutMs();
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
@@ -18,6 +18,10 @@
     final Set<Session> awaitingAnswer = new LinkedHashSet<>();
     /** Whether a valid message has come: a test or a set-up. */
     boolean hasSentValidMessage;
+    /** Whether a valid set-up has come. */
+    boolean hasSentSetUp;
+    /** Number of the latest of the {@link PendingReleases} that was sent on it. */
+    long lastPendingRelease;
     /** Number of valid messages: tests and set-ups. */
     int validMessages;
     /** Number of rejected messages. */
--- a/manager/src/test/java/calicovale/manager/ManagerTest.java
+++ b/manager/src/test/java/calicovale/manager/ManagerTest.java
@@ -18,6 +18,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the session manager through real sockets, with fake servers and a fake event bus. */
 @Timeout(60)
@@ -210,6 +212,41 @@
         }
     }
 
+    /**
+     * Guards against lost releases: after the end of their own connection they waited for one with a playing session,
+     * which never comes while all set-ups are refused.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aReleaseIsSentOnAConnectionWhoseSetUpsAreRefused(boolean connectedBeforeTheRelease) throws Exception {
+        try (ManagerHarness harness = new ManagerHarness(1);
+                Peer viewer = harness.viewer()) {
+            viewer.send(ManagerHarness.setUp(1));
+            FakeServer.Received setUp = harness.servers.get(0).acceptSetUp();
+            assertEquals(MessageType.ANM, viewer.next().type());
+            viewer.reset();
+            harness.waitUntil(() -> harness.process.counts().get("links.viewers") == 0);
+            if (!connectedBeforeTheRelease) {
+                setUp.peer().send(Message.release(1, Cause.NORMAL));
+                harness.awaitCount("outcome.OK", 1);
+            }
+            try (Peer next = harness.viewer()) {
+                next.send(ManagerHarness.setUp(2));
+                harness.servers.get(0).next().peer().send(Message.release(2, Cause.NO_CIRCUIT));
+                if (connectedBeforeTheRelease) {
+                    assertEquals(2, next.next().sessionId());
+                    setUp.peer().send(Message.release(1, Cause.NORMAL));
+                    assertEquals(1, next.next().sessionId());
+                } else {
+                    assertEquals(1, next.next().sessionId());
+                    assertEquals(2, next.next().sessionId());
+                }
+                next.send(ManagerHarness.setUp(3));
+                assertEquals(3, next.next().sessionId(), "the release is not sent twice on one connection");
+            }
+        }
+    }
+
     @Test
     void aMalformedAnswerEndsOnlyItsConnectionAndTheAttemptsOnIt() throws Exception {
         try (ManagerHarness harness = new ManagerHarness(2);
