--- a/controller/src/main/java/calicovale/RetryBudget.java
+++ b/controller/src/main/java/calicovale/RetryBudget.java
@@ -3,8 +3,8 @@
 import calicovale.ControllerApi.Rules;
 
 /**
- * The budget of further attempts (rule 6): within a sliding window, a fixed number of them and a number for each request
- * are allowed. Its memory does not depend on the rate of requests.
+ * The budget of further attempts (rule 6): within a sliding window, a fixed number of them and a number for each
+ * request are allowed. Its memory does not depend on the rate of requests.
  *
  * <p>The rule counts requests and attempts where they arrive, so both ends of its window may differ from those seen
  * here. A margin on the strict side allows for that: attempts stay in the count longer, requests leave it earlier.
--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -600,8 +600,28 @@
             return;
         }
         VideoServer server = link.server;
-        double nowMs = nowMs();
         boolean hasUsableLink = server.hasUsableLink();
+        recordLinkEnd(server, connectFailure);
+        Outcome outcome = attemptOutcome(everOpen, connectFailure);
+        for (Attempt attempt : List.copyOf(link.attempts.values())) {
+            endAttempt(attempt, outcome, Map.of());
+        }
+        resendReleases(server, releases);
+        if (sessions.playingCountAt(server.number) > 0) {
+            // an open link without traffic proves nothing, because a machine that failed does not close its connections
+            boolean silent = !hasUsableLink || nowMs() - server.lastReceivedAtMs > settings.silenceTimeoutMs();
+            String deathReason = deathReason(server, silent);
+            if (deathReason != null) {
+                endSessionsAndLinks(server, deathReason);
+            } else if (silent && server.reconnectTimer == null) {
+                scheduleReconnect(server, connectFailure == null);
+            }
+        }
+    }
+
+    /** Counts the end of a link and notes what it tells about its server. */
+    private void recordLinkEnd(VideoServer server, ConnectFailedException connectFailure) {
+        double nowMs = nowMs();
         if (connectFailure == null) {
             log.count("server.link-closed");
         } else if (connectFailure.notAttempted()) {
@@ -614,46 +634,53 @@
             log.count("server.refused");
             server.refusedSinceMs = server.consecutiveRefusals++ == 0 ? nowMs : server.refusedSinceMs;
         }
-        for (Attempt attempt : List.copyOf(link.attempts.values())) {
-            endAttempt(
-                    attempt,
-                    everOpen
-                            ? Outcome.RESET
-                            : connectFailure != null && connectFailure.notAttempted()
-                                    ? Outcome.MOOT
-                                    : Outcome.CONNECT_FAILED,
-                    Map.of());
+    }
+
+    /** Returns the outcome of the attempts on a link that has ended. */
+    private static Outcome attemptOutcome(boolean everOpen, ConnectFailedException connectFailure) {
+        if (everOpen) {
+            return Outcome.RESET;
         }
+        return connectFailure != null && connectFailure.notAttempted() ? Outcome.MOOT : Outcome.CONNECT_FAILED;
+    }
+
+    /** Sends releases again whose link ended before they were sent; without them, sessions would play on. */
+    private void resendReleases(VideoServer server, List<Message> releases) {
         if (!releases.isEmpty() && !server.gone && server.releaseResends++ < MAX_RELEASE_RESENDS) {
-            // without its release, a session that its viewer has ended would play on
             log.count("server.release-again");
             loop.schedule(reconnectDelayMs(server), () -> releases.forEach(release -> sendTo(server.number, release)));
         }
-        if (sessions.playingCountAt(server.number) == 0) {
-            return;
+    }
+
+    /** Returns why a server is considered dead, or null if it is not. */
+    private String deathReason(VideoServer server, boolean silent) {
+        double nowMs = nowMs();
+        boolean refuses = server.consecutiveRefusals >= REFUSALS_BEFORE_DEAD
+                && nowMs - server.refusedSinceMs >= REFUSED_BEFORE_DEAD_MS;
+        if (silent && refuses) {
+            return "it refuses connections";
         }
-        // an open link without traffic proves nothing, because a machine that failed does not close its connections
-        boolean silent = !hasUsableLink || nowMs - server.lastReceivedAtMs > settings.silenceTimeoutMs();
-        if (silent
-                && server.consecutiveRefusals >= REFUSALS_BEFORE_DEAD
-                && nowMs - server.refusedSinceMs >= REFUSED_BEFORE_DEAD_MS) {
-            endSessionsAndLinks(server, "it refuses connections");
-        } else if (server.unreachableSinceMs > 0
+        boolean unreachable = server.unreachableSinceMs > 0
                 && nowMs - server.unreachableSinceMs > UNREACHABLE_BEFORE_DEAD_MS
-                && nowMs - server.lastReceivedAtMs > SILENT_BEFORE_DEAD_MS) {
-            endSessionsAndLinks(server, "it cannot be reached");
-        } else if (silent && server.reconnectTimer == null) {
-            // at once only after a link that worked, because a server may accept connections and close them
-            boolean atOnce = connectFailure == null && server.reconnectAttempts == 0;
-            double delayMs = reconnectDelayMs(server);
-            server.reconnectTimer = loop.schedule(atOnce ? 0 : delayMs, () -> {
-                server.reconnectTimer = null;
-                if (!server.hasUsableLink()
-                        || loop.clock().millis() - server.lastReceivedAtMs > settings.silenceTimeoutMs()) {
-                    openLinkIfNeeded(server);
-                }
-            });
-        }
+                && nowMs - server.lastReceivedAtMs > SILENT_BEFORE_DEAD_MS;
+        return unreachable ? "it cannot be reached" : null;
+    }
+
+    /**
+     * Schedules the opening of a link to a silent server.
+     *
+     * @param wasOpen whether the last link ended after it was open; the first try after a link that worked is made at
+     *     once, further ones are not, because a server may accept connections and close them
+     */
+    private void scheduleReconnect(VideoServer server, boolean wasOpen) {
+        boolean atOnce = wasOpen && server.reconnectAttempts == 0;
+        double delayMs = reconnectDelayMs(server);
+        server.reconnectTimer = loop.schedule(atOnce ? 0 : delayMs, () -> {
+            server.reconnectTimer = null;
+            if (!server.hasUsableLink() || nowMs() - server.lastReceivedAtMs > settings.silenceTimeoutMs()) {
+                openLinkIfNeeded(server);
+            }
+        });
     }
 
     private double reconnectDelayMs(VideoServer server) {
@@ -666,6 +693,7 @@
 
     /** Ends the sessions and closes the links of a server that is considered dead. */
     private void endSessionsAndLinks(VideoServer server, String reason) {
+        server.waitingMessages.clear();
         List<Session> ended = sessions.playingAt(server.number);
         if (!ended.isEmpty()) {
             log.warn("server.dead", server + ": " + reason + ", " + ended.size() + " sessions ended");
@@ -680,61 +708,82 @@
 
     private void sweep() {
         loop.schedule(SWEEP_INTERVAL_MS, this::sweep);
-        double nowMs = nowMs();
         List<VideoServer> unlinked = new ArrayList<>();
         for (VideoServer server : List.copyOf(servers.values())) {
-            int spareIdleLinks = 0;
-            for (ServerLink link : List.copyOf(server.links)) {
-                if (link.partialSinceMs > 0 && nowMs - link.partialSinceMs > PARTIAL_MESSAGE_TIMEOUT_MS) {
-                    link.fail("message still incomplete after " + (long) PARTIAL_MESSAGE_TIMEOUT_MS + " ms");
-                } else if (link.attempts.isEmpty()
-                        && (link.unusable
-                                || link.open
-                                        && nowMs - link.lastUsedAtMs > SPARE_IDLE_TIMEOUT_MS
-                                        && ++spareIdleLinks > MAX_SPARE_IDLE_LINKS)) {
-                    link.connection.close();
-                }
-            }
-            if (!server.waitingMessages.isEmpty() && server.address != null && makeRoom()) {
-                connect(server);
-            }
-            boolean hasSessions = sessions.playingCountAt(server.number) > 0;
-            double silenceTimeoutMs = settings.silenceTimeoutMs() * (1 + server.timingJitter);
-            if (hasSessions
-                    && server.address == null
-                    && nowMs - Math.max(server.lastReceivedAtMs, server.firstKnownAtMs) > SILENT_BEFORE_DEAD_MS) {
-                endSessionsAndLinks(server, server.listed ? "it has no address" : "the server list does not name it");
-            } else if (hasSessions && server.links.isEmpty()) {
+            closeFaultyAndSpareLinks(server);
+            if (!server.waitingMessages.isEmpty()) {
                 unlinked.add(server);
-            } else if (hasSessions
-                    && nowMs - Math.max(server.lastReceivedAtMs, server.lastCheckedAtMs) > silenceTimeoutMs) {
-                server.lastCheckedAtMs = nowMs;
-                log.count("server.looked-at");
-                openLinkIfNeeded(server);
-            }
-            if ((server.gone || !server.listed)
-                    && !hasSessions
+            } else if (sessions.playingCountAt(server.number) > 0) {
+                checkServerWithSessions(server, unlinked);
+            } else if ((server.gone || !server.listed)
                     && server.links.stream().allMatch(link -> link.attempts.isEmpty())) {
                 forget(server);
             }
         }
-        connectToUnlinked(unlinked, nowMs);
+        connectToUnlinked(unlinked);
+    }
+
+    private void closeFaultyAndSpareLinks(VideoServer server) {
+        double nowMs = nowMs();
+        int spareIdleLinks = 0;
+        for (ServerLink link : List.copyOf(server.links)) {
+            if (link.partialSinceMs > 0 && nowMs - link.partialSinceMs > PARTIAL_MESSAGE_TIMEOUT_MS) {
+                link.fail("message still incomplete after " + (long) PARTIAL_MESSAGE_TIMEOUT_MS + " ms");
+            } else if (link.attempts.isEmpty()
+                    && (link.unusable
+                            || link.open
+                                    && nowMs - link.lastUsedAtMs > SPARE_IDLE_TIMEOUT_MS
+                                    && ++spareIdleLinks > MAX_SPARE_IDLE_LINKS)) {
+                link.connection.close();
+            }
+        }
+    }
+
+    /** Checks whether a server with playing sessions can be reached; adds it to {@code unlinked} if it has no link. */
+    private void checkServerWithSessions(VideoServer server, List<VideoServer> unlinked) {
+        double nowMs = nowMs();
+        double silenceTimeoutMs = settings.silenceTimeoutMs() * (1 + server.timingJitter);
+        if (server.address == null
+                && nowMs - Math.max(server.lastReceivedAtMs, server.firstKnownAtMs) > SILENT_BEFORE_DEAD_MS) {
+            endSessionsAndLinks(server, server.listed ? "it has no address" : "the server list does not name it");
+        } else if (server.links.isEmpty()) {
+            unlinked.add(server);
+        } else if (nowMs - Math.max(server.lastReceivedAtMs, server.lastCheckedAtMs) > silenceTimeoutMs) {
+            server.lastCheckedAtMs = nowMs;
+            log.count("server.looked-at");
+            openLinkIfNeeded(server);
+        }
     }
 
     /**
-     * Connects to servers with playing sessions and without a link, where the bound on links permits that at once, else
-     * in turn: each again {@link #EVICTED_RECONNECT_MS} after its last link was closed to make room.
+     * Connects to servers that need a link and have none: at once while the bound on links is not reached, else in turn
+     * by {@link #linkDueMs}.
      */
-    private void connectToUnlinked(List<VideoServer> unlinked, double nowMs) {
-        unlinked.sort(Comparator.comparingDouble(server -> server.evictedAtMs));
+    private void connectToUnlinked(List<VideoServer> unlinked) {
+        double nowMs = nowMs();
+        unlinked.sort(Comparator.comparingDouble(ServerPool::linkDueMs));
         for (VideoServer server : unlinked) {
-            double dueMs = server.evictedAtMs + EVICTED_RECONNECT_MS * (1 - server.timingJitter);
-            if (server.reconnectTimer == null && (nowMs >= dueMs || linkCount < settings.maxLinks())) {
-                openLinkIfNeeded(server);
+            if (server.address == null || server.reconnectTimer != null) {
+                continue;
             }
+            boolean due = nowMs >= linkDueMs(server);
+            if (!due && linkCount >= settings.maxLinks() || !makeRoom()) {
+                return;
+            }
+            connect(server);
         }
     }
 
+    /**
+     * Returns the clock time, in ms, from which a server without a link is connected to at the bound on links: at once
+     * if messages wait for it, else {@link #EVICTED_RECONNECT_MS} after its last link was closed to make room.
+     */
+    private static double linkDueMs(VideoServer server) {
+        return server.waitingMessages.isEmpty()
+                ? server.evictedAtMs + EVICTED_RECONNECT_MS * (1 - server.timingJitter)
+                : Double.NEGATIVE_INFINITY;
+    }
+
     private void forget(VideoServer server) {
         for (ServerLink link : List.copyOf(server.links)) {
             link.connection.close();
