--- a/manager/src/test/java/calicovale/manager/EventOrderTest.java
+++ b/manager/src/test/java/calicovale/manager/EventOrderTest.java
@@ -426,7 +426,7 @@
         try (ManagerHarness harness = new ManagerHarness(1, 256, 240)) {
             assertEquals("from 1", harness.bus.nextRequest());
             harness.clock.stop();
-            harness.bus.listeningSocket.close();
+            harness.bus.stopListening();
             harness.bus.disconnect();
             harness.awaitCount("bus.broke", 1);
             // each delay is at most a quarter of the grace time, however long the bus has been down
--- a/manager/src/test/java/calicovale/manager/ManagerHarness.java
+++ b/manager/src/test/java/calicovale/manager/ManagerHarness.java
@@ -485,20 +485,10 @@
             }
         }
 
-        /**
-         * Refuses further connections; open ones stay. Waits for the thread that accepts connections, because the
-         * system listens until that thread has left its call.
-         */
+        /** Refuses further connections; open ones stay. */
         void stopListening() throws IOException {
             listeningSocket.close();
-            try {
-                acceptThread.join(TimeUnit.SECONDS.toMillis(TIMEOUT_S));
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            if (acceptThread.isAlive()) {
-                throw new IOException("the thread that accepts connections does not end");
-            }
+            awaitEnd(acceptThread);
         }
 
         /** Stops listening and resets all connections, as a killed process does. */
@@ -522,6 +512,7 @@
     static final class FakeBus implements AutoCloseable {
         final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
         final ServerSocket listeningSocket;
+        private final Thread acceptThread;
         private volatile Socket newestConnection;
         /** Written after each request, with a delay of {@link #answerDelayMs}; empty: nothing is written. */
         volatile String answer = "";
@@ -534,7 +525,7 @@
 
         FakeBus(int port) throws IOException {
             listeningSocket = new ServerSocket(port, 50, LOOPBACK);
-            startDaemon(() -> {
+            acceptThread = startDaemon(() -> {
                 while (true) {
                     Socket socket = listeningSocket.accept();
                     InputStream input = socket.getInputStream();
@@ -552,6 +543,12 @@
             });
         }
 
+        /** Refuses further connections. Must be called after the request of the last connection was taken. */
+        void stopListening() throws IOException {
+            listeningSocket.close();
+            awaitEnd(acceptThread);
+        }
+
         int port() {
             return listeningSocket.getLocalPort();
         }
@@ -581,6 +578,18 @@
         }
     }
 
+    /** Waits for a thread that accepts connections, because the system listens until it has left its call. */
+    private static void awaitEnd(Thread acceptThread) throws IOException {
+        try {
+            acceptThread.join(TimeUnit.SECONDS.toMillis(TIMEOUT_S));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        if (acceptThread.isAlive()) {
+            throw new IOException("the thread that accepts connections does not end");
+        }
+    }
+
     /** The task of a fake server's or bus's thread, which ends with an exception when its socket is closed. */
     private interface SocketTask {
         void run() throws IOException;
