--- a/review/8/ReleaseAfterCut.java
+++ b/review/8/ReleaseAfterCut.java
@@ -94,6 +94,7 @@
         require(record.seconds() - cutAt < 6, "the cut took too long");
         if (trouble) {
             cables.get(chosen).cut(false);
+            require(cables.get(chosen).openedWhileCut() == 0, "a connection came up while the server was cut off");
         }
         // the viewers that come afterwards, about 1 in 1.5 s
         while (front.firstAt(ends, Wire.RELEASE) < 0 && (record.seconds() - endedAt) * 1000 < WATCHED_MS) {
--- a/review/kit-2/src/Cable.java
+++ b/review/kit-2/src/Cable.java
@@ -15,6 +15,7 @@
     private final ServerSocket listening = new ServerSocket();
     private final int serverPort;
     private boolean cut;
+    private int openedWhileCut;
 
     Cable(Record record, int serverPort) throws IOException {
         this.record = record;
@@ -33,6 +34,11 @@
         notifyAll();
     }
 
+    /** Returns how many connections came up while the network was cut; in a real one, none does. */
+    synchronized int openedWhileCut() {
+        return openedWhileCut;
+    }
+
     private synchronized void awaitNotCut() throws InterruptedException {
         while (cut) {
             wait();
@@ -42,6 +48,9 @@
     private void accept() throws Exception {
         while (true) {
             Socket manager = listening.accept();
+            synchronized (this) {
+                openedWhileCut += cut ? 1 : 0;
+            }
             Threads.start(() -> {
                 awaitNotCut();
                 Socket server = new Socket(InetAddress.getByName("127.0.0.1"), serverPort);
--- a/review/kit-2/src/VideoServer.java
+++ b/review/kit-2/src/VideoServer.java
@@ -211,6 +211,18 @@
         return (int) standing.values().stream().distinct().count();
     }
 
+    /** Returns what stands. */
+    final synchronized List<Long> standingIds() {
+        return List.copyOf(standing.keySet());
+    }
+
+    /** The process ends with its machine, without a word: its sessions are cut. */
+    final synchronized void falls() throws IOException {
+        record.line(name + ": ends with its machine, its sessions are cut");
+        standing.clear();
+        listening.close();
+    }
+
     /** Returns the session that stands for longest; the notes are on it. */
     final synchronized long firstStanding() {
         return standing.keySet().iterator().next();
