--- a/review/kit-2/src/Bus.java
+++ b/review/kit-2/src/Bus.java
@@ -17,7 +17,7 @@
     private final List<String> events = new ArrayList<>();
     private final List<OutputStream> followers = new ArrayList<>();
     private final List<Socket> sockets = new ArrayList<>();
-    /** Time in ms from the line "from N" to the first line of the bus on that connection. */
+    /** Time in ms by which all that is written on new connections comes late. */
     volatile long slowMs;
 
     Bus(Record record) throws IOException {
@@ -89,8 +89,7 @@
             return;
         }
         record.line("bus: connection, line '" + from + "'");
-        Thread.sleep(slowMs);
-        OutputStream out = socket.getOutputStream();
+        OutputStream out = slowMs > 0 ? new LateStream(socket.getOutputStream(), slowMs) : socket.getOutputStream();
         synchronized (this) {
             for (String event : List.copyOf(events).subList(Integer.parseInt(from.substring(5).trim()), events.size())) {
                 write(out, event);
