Set-ups that wait for an answer are bounded in bytes

Cause: what waits was bounded by number only (128 set-ups on a connection, 16,384 decisions), and each may keep a message of 16 kB. Evidence: the class histogram before the end has 95.0 MB in byte arrays beside 5,700 sessions and 5,664 undecided requests, 16.7 kB each; all else is under 5 MB.

Change: one budget in bytes for set-ups without an answer, a sixteenth of the heap. A connection may keep as much as is still free (dynamic thresholds); a set-up beyond it is refused at once. Related: the loop stops reading while messages that wait for their handling keep 1 MiB; a server's name in a hand-over has at most 256 characters. Why it works: everything that a message leaves behind until its answer is reserved before it is kept.

ProcessTest.largeSetUps- OfManyClientsAtOnceDoNotEndTheProcess failed before the change; the test of the loop failed with its bound taken out. Tests of protocols, host and manager pass.

--- a/manager/src/main/java/calicovale/manager/SessionCoordinator.java
+++ b/manager/src/main/java/calicovale/manager/SessionCoordinator.java
@@ -21,6 +21,7 @@
 import calicovale.manager.sessions.SessionTable;
 import calicovale.manager.viewers.ViewerGateway;
 import calicovale.manager.viewers.ViewerSettings;
+import calicovale.protocols.net.ByteBudget;
 import calicovale.protocols.net.EventLoop;
 import calicovale.protocols.signal.Cause;
 import calicovale.protocols.signal.Message;
@@ -55,6 +56,8 @@
     private static final int SESSIONS_PER_MB = 100;
     /** Heap, in bytes, allowed for each held session, including garbage. */
     private static final long HEAP_BYTES_PER_SESSION = 4096;
+    /** Part of the heap that set-ups without an answer may take together. */
+    private static final int SET_UPS_HEAP_DIVISOR = 16;
     /** Upper bound of sessions handed over at unlisted servers, because a faulty client can name any server. */
     private static final int MAX_UNLISTED = 512;
     /** Number of the latest releases that are remembered for sessions whose hand-over may still come. */
@@ -159,6 +162,7 @@
                 new ViewerSettings(
                         descriptors - serverLinks,
                         MAX_SET_UPS_PER_LINK,
+                        new ByteBudget(Runtime.getRuntime().maxMemory() / SET_UPS_HEAP_DIVISOR),
                         controller.limits().retryAfterMs(),
                         VALID_MESSAGE_TIMEOUT_MS,
                         platform.classes(),
@@ -257,6 +261,7 @@
         // ATTEMPTING, "held.standing" counts PLAYING
         all.put("held.out", (long) sessions.count(State.REQUESTED) + sessions.count(State.ATTEMPTING));
         all.put("held.standing", (long) sessions.count(State.PLAYING));
+        all.put("bytes.set-ups", viewers.setUpBytes());
         all.put("links.viewers", (long) viewers.linkCount());
         all.put("links.servers", (long) servers.linkCount());
         all.put("servers", (long) servers.serverCount());
--- a/manager/src/main/java/calicovale/manager/servers/ServerLink.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerLink.java
@@ -106,7 +106,7 @@
         server.lastReceivedAtMs = lastReceivedAtMs;
         try {
             parser.feed(bytes, message -> {
-                pool.deferDecision(() -> handle(message));
+                pool.deferMessage(message, () -> handle(message));
                 return true;
             });
         } catch (MessageFramingException e) {
--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -139,6 +139,11 @@
         return loop.clock().millis();
     }
 
+    /** Defers the handling of a message that was received. */
+    void deferMessage(Message message, Runnable handling) {
+        loop.deferDecision(message.heapBytes(), handling);
+    }
+
     void deferDecision(Runnable body) {
         loop.defer(EventLoop.Phase.DECISIONS, body);
     }
--- a/manager/src/main/java/calicovale/manager/viewers/SetUpRequest.java
+++ b/manager/src/main/java/calicovale/manager/viewers/SetUpRequest.java
@@ -36,15 +36,24 @@
         int topRung,
         String viewer,
         String playingAt) {
-    /** Upper bound of the characters of a title or viewer's key. */
+    /** Upper bound of the characters of a title, a viewer's key or a server's name. */
     private static final int MAX_TEXT_CHARS = 256;
     /** Upper bound of the parts into which the extras are split. */
     private static final int MAX_EXTRAS = 16;
     /** Number of digits with which every number fits an {@code int}; one more is accepted if the value fits. */
     private static final int INT_SAFE_DIGITS = 9;
+    /** Heap, in bytes, of the objects and table entries of a set-up that waits for its answer, without its texts. */
+    private static final int OBJECTS_HEAP_BYTES = 1024;
+    /** Heap, in bytes, of one character of a text. */
+    private static final int CHAR_HEAP_BYTES = 2;
     /** Upper bound of the characters of an excerpt in a reason. */
     private static final int MAX_EXCERPT_CHARS = 40;
 
+    /** Returns an estimate of the heap, in bytes, that the set-up needs while it waits for its answer. */
+    int heapBytes() {
+        return OBJECTS_HEAP_BYTES + description.length + CHAR_HEAP_BYTES * (title.length() + viewer.length());
+    }
+
     private static SetUpRequest rejected(int cause, String reason) {
         return new SetUpRequest(cause, reason, 0, null, null, 0, false, false, 0, 0, 0, null, null);
     }
@@ -123,10 +132,11 @@
                             + excerpt(extrasText) + "'");
         }
         String viewer = extras.getOrDefault("viewer", "");
-        if (viewer.length() > MAX_TEXT_CHARS) {
+        int longestText = Math.max(viewer.length(), playingAt == null ? 0 : playingAt.length());
+        if (longestText > MAX_TEXT_CHARS) {
             return rejected(
                     Cause.INVALID_CONTENTS,
-                    "viewer has " + viewer.length() + " characters, at most " + MAX_TEXT_CHARS + " are accepted");
+                    "viewer or at has " + longestText + " characters, at most " + MAX_TEXT_CHARS + " are accepted");
         }
         return new SetUpRequest(
                 0,
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerGateway.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerGateway.java
@@ -137,6 +137,11 @@
         }
     }
 
+    /** Returns the number of bytes that are reserved for unanswered set-ups. */
+    public long setUpBytes() {
+        return settings.setUpBytes().used();
+    }
+
     /** Returns the number of connections. */
     public int linkCount() {
         return links.size();
@@ -162,7 +167,7 @@
             boolean ranksLower = least == null
                     || link.retentionRank() < least.retentionRank()
                     || link.retentionRank() == least.retentionRank() && link.lastUsedAtMs < least.lastUsedAtMs;
-            least = link.awaitingAnswer.isEmpty() && ranksLower ? link : least;
+            least = link.unansweredSetUps() == 0 && ranksLower ? link : least;
         }
         if (least != null) {
             log.count("viewer.evicted");
@@ -246,13 +251,8 @@
             return;
         }
         countSetUp(link);
-        if (sessions.isFull() || link.awaitingAnswer.size() >= settings.maxSetUpsPerLink()) {
-            log.warn(
-                    sessions.isFull() ? "viewer.table-full" : "viewer.too-many-open",
-                    sessions.isFull()
-                            ? sessions.size() + " sessions are held, the set-up is refused"
-                            : link.awaitingAnswer.size() + " set-ups on the connection are unanswered, the limit is "
-                                    + settings.maxSetUpsPerLink() + ", the set-up is refused");
+        int heapBytes = setUp.heapBytes();
+        if (!reserveForSetUp(link, heapBytes)) {
             Message refusal = Message.release(message.sessionId(), Cause.CONGESTION);
             if (settings.retryAfterMs() > 0) {
                 refusal.with(Parameter.RETRY_AFTER, String.valueOf((long) settings.retryAfterMs()));
@@ -267,7 +267,7 @@
                 setUp.title(),
                 setUp.description(),
                 request.giveUpMs());
-        link.awaitingAnswer.add(session);
+        link.addUnanswered(session, heapBytes);
         // decided when all available input has been read, because a cancel or close may follow directly
         loop.defer(EventLoop.Phase.DECISIONS, () -> {
             if (session.state() == State.REQUESTED && !session.departed()) {
@@ -276,14 +276,36 @@
         });
     }
 
+    /** Reserves the bytes of a set-up; returns false, and logs why, if it must be refused. */
+    private boolean reserveForSetUp(ViewerLink link, int heapBytes) {
+        if (sessions.isFull()) {
+            log.warn("viewer.table-full", sessions.size() + " sessions are held, the set-up is refused");
+            return false;
+        }
+        if (link.unansweredSetUps() >= settings.maxSetUpsPerLink()) {
+            log.warn(
+                    "viewer.too-many-open",
+                    link.unansweredSetUps() + " set-ups on the connection are unanswered, the limit is "
+                            + settings.maxSetUpsPerLink() + ", the set-up is refused");
+            return false;
+        }
+        if (!link.reserve(settings.setUpBytes(), heapBytes)) {
+            log.warn(
+                    "viewer.too-many-bytes-open",
+                    "unanswered set-ups keep " + settings.setUpBytes().used()
+                            + " bytes, a set-up of a connection that keeps more than is free is refused");
+            return false;
+        }
+        return true;
+    }
+
     /**
      * Rejects a set-up with an id in use. If the set-up that holds the id waits for its answer on the same connection,
      * it ends too, because the two answers could not be told apart.
      */
     private void rejectDuplicate(ViewerLink link, Session held) {
-        if (held.requester() == link && link.awaitingAnswer.contains(held)) {
+        if (held.requester() == link && link.removeUnanswered(held, settings.setUpBytes())) {
             held.markDeparted();
-            link.awaitingAnswer.remove(held);
             listener.viewerDeparted(held);
         }
         rejectMessage(link, held.id(), Cause.INVALID_REFERENCE, "set-up with the id of a session that is already held");
@@ -298,7 +320,7 @@
         } else if (session.state() == State.PLAYING) {
             listener.sessionReleased(session);
         } else if (session.requester() == link && !session.departed()) {
-            link.awaitingAnswer.remove(session);
+            link.removeUnanswered(session, settings.setUpBytes());
             session.markDeparted();
             listener.viewerDeparted(session);
         }
@@ -328,11 +350,10 @@
      */
     void linkClosed(ViewerLink link) {
         links.remove(link);
-        for (Session session : link.awaitingAnswer) {
+        for (Session session : link.removeAllUnanswered(settings.setUpBytes())) {
             session.markDeparted();
             loop.defer(EventLoop.Phase.TERMINATIONS, () -> listener.viewerDeparted(session));
         }
-        link.awaitingAnswer.clear();
     }
 
     // --- Sent messages ---
@@ -340,7 +361,7 @@
     /** Sends the one answer of a set-up. Returns false, without sending, if none is due any more. */
     public boolean answer(Session session, Message message) {
         ViewerLink link = (ViewerLink) session.requester();
-        if (!link.awaitingAnswer.remove(session)) {
+        if (!link.removeUnanswered(session, settings.setUpBytes())) {
             return false;
         }
         link.lastUsedAtMs = nowMs();
@@ -397,7 +418,7 @@
                     !link.hasSentValidMessage && nowMs - link.openedAtMs > settings.validMessageTimeoutMs();
             boolean partialMessage = link.partialSinceMs > 0
                     && nowMs - link.partialSinceMs > settings.validMessageTimeoutMs()
-                    && link.awaitingAnswer.isEmpty();
+                    && link.unansweredSetUps() == 0;
             if (noValidMessage || partialMessage) {
                 log.count(noValidMessage ? "viewer.mute" : "viewer.half");
                 link.connection.close();
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
@@ -1,21 +1,25 @@
 package calicovale.manager.viewers;
 
 import calicovale.manager.sessions.Session;
+import calicovale.protocols.net.ByteBudget;
 import calicovale.protocols.net.Connection;
 import calicovale.protocols.signal.Message;
 import calicovale.protocols.signal.MessageFramingException;
 import calicovale.protocols.signal.SignalParser;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.LinkedHashSet;
-import java.util.Set;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 
 /** One connection of a viewers' front, with the set-ups that wait for an answer on it. */
 final class ViewerLink implements Connection.Handler, Session.Requester {
     final Connection connection;
     final double openedAtMs;
-    /** Sessions of this connection whose set-ups are not answered yet. */
-    final Set<Session> awaitingAnswer = new LinkedHashSet<>();
+    /** Sessions of this connection whose set-ups are not answered yet, with the bytes reserved for each. */
+    private final Map<Session, Integer> awaitingAnswer = new LinkedHashMap<>();
+    /** Sum of the bytes reserved for {@link #awaitingAnswer}. */
+    private long reservedBytes;
     /** Whether a valid message has come: a test or a set-up. */
     boolean hasSentValidMessage;
     /** Whether a valid set-up has come. */
@@ -49,6 +53,41 @@
         return sessionsPlayed > 0 ? 2 : hasSentValidMessage ? 1 : 0;
     }
 
+    /** Returns the number of set-ups that are not answered yet. */
+    int unansweredSetUps() {
+        return awaitingAnswer.size();
+    }
+
+    /** Reserves the bytes of a set-up that is to be held; returns false if there is no room for them. */
+    boolean reserve(ByteBudget budget, int bytes) {
+        boolean reserved = budget.reserve(reservedBytes, bytes);
+        reservedBytes += reserved ? bytes : 0;
+        return reserved;
+    }
+
+    /** Adds a session whose set-up waits for its answer, with the bytes that were reserved for it. */
+    void addUnanswered(Session session, int bytes) {
+        awaitingAnswer.put(session, bytes);
+    }
+
+    /** Removes a session whose set-up needs no answer any more; returns false if it needed none before. */
+    boolean removeUnanswered(Session session, ByteBudget budget) {
+        Integer bytes = awaitingAnswer.remove(session);
+        if (bytes == null) {
+            return false;
+        }
+        reservedBytes -= bytes;
+        budget.release(bytes);
+        return true;
+    }
+
+    /** Removes all sessions whose set-ups are not answered yet, and returns them. */
+    List<Session> removeAllUnanswered(ByteBudget budget) {
+        List<Session> sessions = List.copyOf(awaitingAnswer.keySet());
+        sessions.forEach(session -> removeUnanswered(session, budget));
+        return sessions;
+    }
+
     void send(Message message) {
         connection.write(message.encode());
     }
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerSettings.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerSettings.java
@@ -1,5 +1,6 @@
 package calicovale.manager.viewers;
 
+import calicovale.protocols.net.ByteBudget;
 import java.util.List;
 
 /**
@@ -7,6 +8,7 @@
  *
  * @param maxLinks upper bound of connections
  * @param maxSetUpsPerLink upper bound of unanswered set-ups on one connection
+ * @param setUpBytes bound of the bytes that all unanswered set-ups keep together
  * @param retryAfterMs time, in ms, after which a viewer refused by a bound may come back; 0: viewers take no such
  *     advice
  * @param validMessageTimeoutMs time, in ms, after which a connection is closed that has sent no valid message, or that
@@ -20,6 +22,7 @@
 public record ViewerSettings(
         int maxLinks,
         int maxSetUpsPerLink,
+        ByteBudget setUpBytes,
         double retryAfterMs,
         double validMessageTimeoutMs,
         List<String> classes,
--- a/manager/src/test/java/calicovale/manager/ProcessTest.java
+++ b/manager/src/test/java/calicovale/manager/ProcessTest.java
@@ -7,6 +7,7 @@
 import calicovale.manager.ManagerHarness.Peer;
 import calicovale.protocols.signal.Message;
 import calicovale.protocols.signal.MessageType;
+import calicovale.protocols.signal.Parameter;
 import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -26,6 +27,9 @@
 /** Tests the real process, as the platform starts it: SIGHUP, SIGTERM, few descriptors and invalid configurations. */
 @Timeout(60)
 class ProcessTest {
+    private static final int FLOODING_CLIENTS = 100;
+    private static final int SET_UPS_PER_CLIENT = 200;
+
     private static Process startProcess(Path config) throws IOException {
         return startProcess(config, "unlimited", System.getProperty("java.class.path"), "");
     }
@@ -169,6 +173,73 @@
         return String.join(File.pathSeparator, entries);
     }
 
+    /** Guards against set-ups that wait being bounded by their number only, so that large ones exhaust the memory. */
+    @Test
+    void largeSetUpsOfManyClientsAtOnceDoNotEndTheProcess(@TempDir Path folder) throws Exception {
+        Path config = folder.resolve("config.json");
+        List<Peer> clients = new ArrayList<>();
+        try (ManagerHarness configSource = new ManagerHarness(1)) {
+            String text = configSource.config(configSource.bus.port(), 1024);
+            Files.writeString(config, text);
+            int listen = Integer.parseInt(text.replaceAll("(?s).*\"listen\":\"127.0.0.1:(\\d+)\".*", "$1"));
+            Process process = startProcess(config);
+            try {
+                configSource.waitUntil(() -> answers(listen));
+                List<Thread> senders = new ArrayList<>();
+                for (int i = 0; i < FLOODING_CLIENTS; i++) {
+                    Peer client = new Peer(new Socket(InetAddress.getLoopbackAddress(), listen));
+                    clients.add(client);
+                    long firstId = 1L + i * SET_UPS_PER_CLIENT;
+                    senders.add(inBackground(client::awaitEnd));
+                    senders.add(inBackground(() -> {
+                        for (int n = 0; n < SET_UPS_PER_CLIENT; n++) {
+                            client.send(largeSetUp(firstId + n));
+                        }
+                        client.halfClose();
+                    }));
+                }
+                for (Thread sender : senders) {
+                    sender.join();
+                }
+                assertTrue(answers(listen), "the process does not answer");
+                assertTrue(process.isAlive(), "the process has ended");
+            } catch (AssertionError e) {
+                throw new AssertionError(Files.readString(folder.resolve("log")), e);
+            } finally {
+                process.destroyForcibly();
+                for (Peer client : clients) {
+                    client.close();
+                }
+            }
+        }
+    }
+
+    /** Returns a set-up of nearly the largest size that the protocol allows. */
+    private static Message largeSetUp(long id) {
+        return Message.of(MessageType.IAM, id)
+                .with(Parameter.CLASS, "talk")
+                .with(Parameter.WAIT, "4000")
+                .with(Parameter.TITLE, "7f3a")
+                .with(Parameter.DESCRIPTION, new byte[16_000]);
+    }
+
+    private interface ClientTask {
+        void run() throws IOException;
+    }
+
+    private static Thread inBackground(ClientTask task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                // the process has ended or closed the connection
+                return;
+            }
+        });
+        thread.start();
+        return thread;
+    }
+
     private static boolean answers(int port) {
         try (Peer peer = new Peer(new Socket(InetAddress.getLoopbackAddress(), port))) {
             peer.send(Message.of(MessageType.UPT, 1));
--- a/protocols/src/main/java/calicovale/protocols/net/EventLoop.java
+++ b/protocols/src/main/java/calicovale/protocols/net/EventLoop.java
@@ -63,6 +63,8 @@
      * datagrams wait in the socket's buffer or are lost.
      */
     private static final int MAX_WAITING_DECISIONS = 1 << 14;
+    /** Bytes kept by waiting decisions from which on sockets are not read either. */
+    private static final int MAX_WAITING_DECISION_BYTES = 1 << 20;
     /**
      * Number of cancelled timers that are kept. When there are more, and more than half of all timers are cancelled,
      * all cancelled ones are removed.
@@ -94,6 +96,9 @@
     private final PriorityQueue<ScheduledTimer> timers = new PriorityQueue<>();
     private final ArrayDeque<Runnable> terminations = new ArrayDeque<>();
     private final ArrayDeque<Runnable> decisions = new ArrayDeque<>();
+    /** Bytes that are kept by the tasks in {@link #decisions}. */
+    private int waitingDecisionBytes;
+
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final LoopCounters counters = new LoopCounters();
     private final ByteBuffer readBuffer;
@@ -227,6 +232,22 @@
         (phase == Phase.TERMINATIONS ? terminations : decisions).addLast(task);
     }
 
+    /**
+     * Defers a decision that keeps {@code bytes} bytes of input until it has run. Sockets are not read while waiting
+     * decisions keep too many. Must be called on the loop's thread.
+     */
+    public void deferDecision(int bytes, Runnable task) {
+        waitingDecisionBytes += bytes;
+        decisions.addLast(() -> {
+            waitingDecisionBytes -= bytes;
+            task.run();
+        });
+    }
+
+    private boolean mayRead() {
+        return decisions.size() < MAX_WAITING_DECISIONS && waitingDecisionBytes < MAX_WAITING_DECISION_BYTES;
+    }
+
     /** Sets the order in which connections that are ready in the same turn are read, for tests and rehearsals. */
     public void readOrder(Comparator<Connection> order) {
         readOrder = order;
@@ -370,9 +391,7 @@
         // copied, because deregisterClosed() selects again while these keys are processed
         List<SelectionKey> ready = new ArrayList<>(selector.selectedKeys());
         selector.selectedKeys().clear();
-        if (decisions.size() < MAX_WAITING_DECISIONS) {
-            readReady(ready);
-        }
+        readReady(ready);
         for (SelectionKey key : ready) {
             if (key.isValid() && key.attachment() instanceof Listener listener) {
                 listener.accept();
@@ -404,7 +423,7 @@
         for (SelectionKey key : ready) {
             if (key.attachment() instanceof Connection connection) {
                 readyConnections.add(connection);
-            } else if (key.isValid() && key.attachment() instanceof UdpSocket datagrams) {
+            } else if (mayRead() && key.isValid() && key.attachment() instanceof UdpSocket datagrams) {
                 runGuarded(() -> datagrams.handleReadable(readBuffer));
             }
         }
@@ -415,6 +434,9 @@
             if (c.isClosed() || !c.key.isValid()) {
                 continue;
             }
+            if (!mayRead()) {
+                return;
+            }
             // a select call during this turn may leave the key of an established connection marked as connectable
             if (c.key.isConnectable() && !c.isEstablished()) {
                 c.key.interestOps(0);
@@ -422,7 +444,7 @@
             } else if (c.isEstablished()) {
                 runForConnection(c, () -> {
                     // read on, because the peer's close may follow its request
-                    for (int i = 0; i < READS_PER_TURN && c.handleReadable(readBuffer); i++) {
+                    for (int i = 0; i < READS_PER_TURN && mayRead() && c.handleReadable(readBuffer); i++) {
                         counters.reads++;
                     }
                 });
--- a/protocols/src/main/java/calicovale/protocols/signal/Message.java
+++ b/protocols/src/main/java/calicovale/protocols/signal/Message.java
@@ -21,6 +21,11 @@
     /** Size of a parameter's header, in bytes: code and length of the value. */
     private static final int PARAMETER_HEADER_BYTES = 3;
 
+    /** Heap of a message without parameters, in bytes. */
+    private static final int OBJECT_HEAP_BYTES = 256;
+    /** Heap of a parameter without its value, in bytes. */
+    private static final int PARAMETER_HEAP_BYTES = 32;
+
     private final int type;
     private final long sessionId;
     private int[] codes = new int[4];
@@ -105,6 +110,11 @@
         return out.flip();
     }
 
+    /** Returns an estimate of the heap, in bytes, that the message takes. */
+    public int heapBytes() {
+        return OBJECT_HEAP_BYTES + valueBytes + PARAMETER_HEAP_BYTES * parameterCount;
+    }
+
     /** Returns the type, see {@link MessageType}. */
     public int type() {
         return type;
--- a/protocols/src/test/java/calicovale/protocols/net/EventLoopTest.java
+++ b/protocols/src/test/java/calicovale/protocols/net/EventLoopTest.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -15,6 +16,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -62,6 +64,41 @@
         }
     }
 
+    /** Guards against input of fast peers that waits for its decision being bounded by its number only. */
+    @Test
+    void socketsAreNotReadWhileWaitingDecisionsKeepTooManyBytes() throws Exception {
+        int sentBytes = 8 << 20;
+        AtomicLong waitingBytes = new AtomicLong();
+        AtomicLong mostWaitingBytes = new AtomicLong();
+        AtomicLong decidedBytes = new AtomicLong();
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+                EventLoop loop = new EventLoop("test", Clock.system()).start()) {
+            InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+            loop.call(() -> loop.connect(address, "test", 10_000, (c, bytes) -> {
+                int count = bytes.remaining();
+                bytes.position(bytes.limit());
+                mostWaitingBytes.accumulateAndGet(waitingBytes.addAndGet(count), Math::max);
+                loop.deferDecision(count, () -> {
+                    // one decision takes all the time of a turn
+                    long untilNanos = System.nanoTime() + 11_000_000;
+                    while (System.nanoTime() < untilNanos) {
+                        Thread.onSpinWait();
+                    }
+                    waitingBytes.addAndGet(-count);
+                    if (decidedBytes.addAndGet(count) == sentBytes) {
+                        done.complete(null);
+                    }
+                });
+            }));
+            try (Socket peer = server.accept()) {
+                peer.getOutputStream().write(new byte[sentBytes]);
+                done.get(20, TimeUnit.SECONDS);
+            }
+        }
+        assertTrue(mostWaitingBytes.get() <= (1 << 20) + (1 << 16), mostWaitingBytes + " bytes waited");
+    }
+
     @Test
     void closedConnectionReleasesItsDescriptorBeforeTheNextOpens() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 500, InetAddress.getLoopbackAddress());
