A link that ends by a fault is replaced, so that lost releases come again

Cause: a server repeats a release only on the next connection that is opened, and the manager opened none while another link stood. Evidence: the case's record has the release written on connection 1, closed by the manager 1.1 s before for want of an answer; connection 2 carries notes for 24 s more and no connection 3 comes up.

Change: LostInput tells when a message may have been lost with a link, by any end but the server's own close, and has another link opened: after 150 ms to 1 s, after silence once the server is heard again or 3 s later.

--- a/manager/src/main/java/calicovale/manager/servers/ServerLink.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerLink.java
@@ -16,6 +16,9 @@
 /** One connection to a video server, with the attempts in progress on it. */
 final class ServerLink implements Connection.Handler {
     final VideoServer server;
+    /** Number of the link among those to its server, from 1. */
+    final int number;
+
     final Map<Long, Attempt> attempts = new LinkedHashMap<>();
     Connection connection;
     /** Whether the connection is open and the queued messages have been written. */
@@ -28,6 +31,14 @@
     /** Whether it was closed to make room for a link to another server. */
     boolean evicted;
 
+    /** Whether it was closed because nothing came on it while an attempt waited for its answer. */
+    boolean silent;
+    /**
+     * Whether everything that the server has sent on the link was read, because the server itself ended its side. After
+     * any other end a message may be lost.
+     */
+    boolean inputComplete;
+
     /** Clock time, in ms, when the link began to be opened. */
     final double openedAtMs;
     /** Clock time, in ms, when the link was open; 0: it has not been yet. */
@@ -48,6 +59,7 @@
     ServerLink(ServerPool pool, VideoServer server, double nowMs) {
         this.pool = pool;
         this.server = server;
+        number = ++server.linksCreated;
         openedAtMs = nowMs;
         lastUsedAtMs = nowMs;
         lastReceivedAtMs = nowMs;
@@ -104,6 +116,7 @@
         lastReceivedAtMs = pool.nowMs();
         lastUsedAtMs = lastReceivedAtMs;
         server.lastReceivedAtMs = lastReceivedAtMs;
+        server.lostInput.serverHeard(lastReceivedAtMs);
         try {
             parser.feed(bytes, message -> {
                 pool.deferMessage(message, () -> handle(message));
@@ -138,6 +151,12 @@
         }
     }
 
+    @Override
+    public void onEnd(Connection ended) {
+        inputComplete = !parser.hasPartialMessage() && !unusable;
+        ended.close();
+    }
+
     /**
      * Removes the link at once and ends its attempts with the decisions of this turn, because this may be called
      * from within a write and messages that came before the close are handled first.
--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -370,6 +370,7 @@
         if (linkSilent) {
             // closing the link ends its other attempts too, so that no late answer comes for a viewer that has left
             log.count("server.link-silent");
+            link.silent = true;
             link.connection.close();
         }
     }
@@ -585,6 +586,7 @@
         server.consecutiveRefusals = 0;
         server.releaseResends = 0;
         server.unreachableSinceMs = 0;
+        server.lostInput.linkOpened(link.number);
     }
 
     /** Removes a link, so that nothing more is sent on it and it no longer counts towards the bound. */
@@ -600,11 +602,14 @@
     }
 
     void linkClosed(ServerLink link, boolean everOpen, ConnectFailedException connectFailure, List<Message> releases) {
+        VideoServer server = link.server;
+        if (everOpen && !link.inputComplete) {
+            server.lostInput.record(server.linksCreated, link.silent, nowMs());
+        }
         if (link.evicted) {
             // nothing is in progress on it; the server is connected to again by the periodic check
             return;
         }
-        VideoServer server = link.server;
         boolean hasUsableLink = server.hasUsableLink();
         recordLinkEnd(server, connectFailure);
         Outcome outcome = attemptOutcome(everOpen, connectFailure);
@@ -757,6 +762,12 @@
             server.lastCheckedAtMs = nowMs;
             log.count("server.looked-at");
             openLinkIfNeeded(server);
+        } else if (server.lostInput.isDue(nowMs)
+                && server.reconnectTimer == null
+                && (linkCount < settings.maxLinks() || nowMs >= linkDueMs(server))) {
+            log.count("server.input-lost");
+            server.lostInput.opening(nowMs);
+            openLinkIfNeeded(server);
         }
     }
 
--- a/manager/src/main/java/calicovale/manager/servers/VideoServer.java
+++ b/manager/src/main/java/calicovale/manager/servers/VideoServer.java
@@ -44,6 +44,11 @@
     /** Time since which connections have timed out and none has opened; 0: none has timed out. */
     double unreachableSinceMs;
 
+    /** Number of links that were created; the newest one has this number. */
+    int linksCreated;
+
+    final LostInput lostInput;
+
     Timer reconnectTimer;
     /** Number of reconnect attempts since a valid message was last received from it. */
     int reconnectAttempts;
@@ -54,6 +59,7 @@
         this.number = number;
         this.name = name;
         this.timingJitter = timingJitter;
+        lostInput = new LostInput(timingJitter);
         firstKnownAtMs = nowMs;
         lastReceivedAtMs = nowMs;
     }
--- /dev/null
+++ b/manager/src/test/java/calicovale/manager/LinkEndTest.java
@@ -0,0 +1,121 @@
+package calicovale.manager;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import calicovale.manager.ManagerHarness.FakeServer;
+import calicovale.manager.ManagerHarness.Peer;
+import calicovale.protocols.signal.Cause;
+import calicovale.protocols.signal.Message;
+import calicovale.protocols.signal.MessageType;
+import calicovale.protocols.signal.Parameter;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Tests that releases survive each way in which the connection that should carry them ends. */
+@Timeout(60)
+class LinkEndTest {
+    /** Time, in ms, after which an attempt on a link without an answer has timed out. */
+    private static final double ATTEMPT_TIMEOUT_MS = 2000;
+    /** Step of the clock, in ms. */
+    private static final int STEP_MS = 100;
+    /** Time, in ms, within which the server is connected to again. */
+    private static final int RECONNECT_BOUND_MS = 2000;
+
+    /** The ways in which one of two links to a server ends while a release on it is lost. */
+    enum LinkEnd {
+        RESET,
+        NO_ANSWER,
+        MALFORMED_MESSAGE
+    }
+
+    /** Starts a manager that takes a server without messages for silent after 4.5 s. */
+    private static ManagerHarness newHarness() throws Exception {
+        return new ManagerHarness(1, 256, config -> config.replace("\"tellMs\":600", "\"tellMs\":3250"));
+    }
+
+    /** Advances the clock and waits until the server and the manager agree on which links are open. */
+    private static void step(ManagerHarness harness) throws InterruptedException {
+        harness.clock.advance(STEP_MS);
+        for (int turn = 0; turn < 2; turn++) {
+            harness.process.loop().call(() -> null);
+        }
+        harness.waitUntil(() -> harness.servers.get(0).openPeers().size()
+                == harness.process.counts().get("links.servers"));
+    }
+
+    private static Message answer(long id) {
+        return Message.of(MessageType.ANM, id).with(Parameter.DESCRIPTION, ManagerHarness.SERVER_DESCRIPTION);
+    }
+
+    /** Sets up sessions 1 to {@code count}, each on a link of its own, and returns the server's ends of the links. */
+    private static Peer[] playOnOneLinkEach(ManagerHarness harness, Peer viewer, int count) throws Exception {
+        FakeServer server = harness.servers.get(0);
+        Peer[] links = new Peer[count];
+        for (int id = 1; id <= count; id++) {
+            viewer.send(ManagerHarness.setUp(id));
+        }
+        for (int i = 0; i < count; i++) {
+            FakeServer.Received setUp = server.next();
+            links[(int) setUp.message().sessionId() - 1] = setUp.peer();
+        }
+        for (int id = 1; id <= count; id++) {
+            links[id - 1].send(answer(id));
+            assertEquals(id, viewer.next(MessageType.ANM).sessionId());
+        }
+        return links;
+    }
+
+    /** Ends the link and stops the clock. */
+    private static void end(ManagerHarness harness, Peer viewer, Peer link, LinkEnd linkEnd) throws Exception {
+        switch (linkEnd) {
+            case RESET -> {
+                harness.clock.stop();
+                link.reset();
+            }
+            case MALFORMED_MESSAGE -> {
+                harness.clock.stop();
+                link.sendBytes((byte) 0, (byte) 1, (byte) 0);
+            }
+            default -> {
+                FakeServer server = harness.servers.get(0);
+                Peer usedLink = null;
+                // a set-up may take either link; the other one is kept alive by an answer
+                for (long id = 10; usedLink != link; id++) {
+                    viewer.send(ManagerHarness.setUp(id));
+                    FakeServer.Received setUp = server.next();
+                    usedLink = setUp.peer();
+                    if (usedLink != link) {
+                        usedLink.send(answer(id));
+                        viewer.next(MessageType.ANM);
+                    }
+                }
+                harness.clock.stop();
+                harness.clock.advance(ATTEMPT_TIMEOUT_MS);
+                harness.awaitCount("server.link-silent", 1);
+            }
+        }
+    }
+
+    /** Guards against a release that is lost with its link and never passed on, because another link stands. */
+    @ParameterizedTest
+    @EnumSource(LinkEnd.class)
+    void aReleaseLostWithOneOfTwoLinksArrives(LinkEnd linkEnd) throws Exception {
+        try (ManagerHarness harness = newHarness();
+                Peer viewer = harness.acceptedViewer()) {
+            Peer[] links = playOnOneLinkEach(harness, viewer, 2);
+            harness.servers.get(0).endSessionOnNextConnection(1);
+            end(harness, viewer, links[0], linkEnd);
+            for (int ms = 0; ms < RECONNECT_BOUND_MS; ms += STEP_MS) {
+                // the server is not silent, so that only the end of the link makes the manager connect again
+                links[1].send(Message.of(MessageType.CPG, 2));
+                step(harness);
+            }
+            Message release;
+            do {
+                release = viewer.next(MessageType.REL);
+            } while (release.cause() != Cause.NORMAL);
+            assertEquals(1, release.sessionId());
+        }
+    }
+}
--- a/manager/src/test/java/calicovale/manager/ManagerHarness.java
+++ b/manager/src/test/java/calicovale/manager/ManagerHarness.java
@@ -474,6 +474,11 @@
             }
         }
 
+        /** Ends a playing session whose release is lost with its connection: it is sent on the next one only. */
+        void endSessionOnNextConnection(long sessionId) {
+            releasesForNextConnection.add(Message.release(sessionId, Cause.NORMAL));
+        }
+
         /** Waits for a first connection. */
         void awaitConnection() throws InterruptedException {
             long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_S);
