What a server wrote before it sees a close of ours is still read

A release that crosses the close of an idle link is lost, and its viewer is never told.

Cause: idle links (spare, near the server's idle time, or giving way at the bound on links) were closed in both directions at once. Evidence: a test whose server writes its release on seeing the close; the viewer got nothing in 10 s.

Change: the manager ends its side only, and reads until the server closes too, 0.5 s at most, for 8 links at a time; otherwise the end counts as one with lost input. Why it works: until the server has seen the end of input it may write, and all that it wrote by then is read before its own end.

Measured: LinkEndTest.aReleaseThatCrossesTheCloseOfASpareLinkArrives failed before and passes; LinkEndTest and LinkLimitTest pass.

--- a/manager/src/main/java/calicovale/manager/servers/ServerLink.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerLink.java
@@ -2,6 +2,7 @@
 
 import calicovale.protocols.net.ConnectFailedException;
 import calicovale.protocols.net.Connection;
+import calicovale.protocols.net.Timer;
 import calicovale.protocols.signal.Message;
 import calicovale.protocols.signal.MessageFramingException;
 import calicovale.protocols.signal.MessageType;
@@ -28,6 +29,13 @@
      * previous process.
      */
     boolean unusable;
+    /**
+     * Whether the manager has ended its side. What the server sent before it noticed is still read; the link no longer
+     * belongs to those of its server.
+     */
+    boolean closing;
+    /** Closes the connection if the server does not; null: the link is not closing. */
+    Timer closeTimer;
     /** Whether it was closed to make room for a link to another server. */
     boolean evicted;
 
--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -44,6 +44,10 @@
     private static final double PARTIAL_MESSAGE_TIMEOUT_MS = 250;
     /** Number of links without attempts that are kept open to one server. */
     private static final int MAX_SPARE_IDLE_LINKS = 2;
+    /** Upper bound of links that are closing. Their descriptors are part of the process's own. */
+    private static final int MAX_CLOSING_LINKS = 8;
+    /** Time, in ms, within which a server must end its side of a link that is closing. */
+    private static final double CLOSING_TIMEOUT_MS = 500;
     /** Idle time, in ms, after which links beyond {@link #MAX_SPARE_IDLE_LINKS} are closed. */
     private static final double SPARE_IDLE_TIMEOUT_MS = 3000;
     /**
@@ -115,6 +119,7 @@
     private final Map<Long, VideoServer> servers = new TreeMap<>();
     private final Map<Long, Attempt> attemptsBySession = new HashMap<>();
     private int linkCount;
+    private int closingLinkCount;
 
     /** Creates a pool without servers and schedules its periodic checks on {@code loop}. */
     public ServerPool(
@@ -305,7 +310,7 @@
                 continue;
             }
             if (link.open && link.attempts.isEmpty() && nowMs - link.lastUsedAtMs > settings.idleTimeoutMs()) {
-                link.connection.close();
+                closeIdle(link);
             } else if (best == null
                     || loadRank(link) < loadRank(best)
                     || loadRank(link) == loadRank(best) && link.lastUsedAtMs > best.lastUsedAtMs) {
@@ -342,10 +347,30 @@
         log.count("server.link-evicted");
         idle.evicted = true;
         idle.server.evictedAtMs = nowMs();
-        idle.connection.close();
+        closeIdle(idle);
         return true;
     }
 
+    /**
+     * Closes a link without attempts. The link is no longer used, but what the server sent before it noticed, such as a
+     * release, is still read while not too many links are closing.
+     */
+    private void closeIdle(ServerLink link) {
+        if (!link.open || link.unusable || closingLinkCount >= MAX_CLOSING_LINKS) {
+            link.connection.close();
+            return;
+        }
+        link.server.links.remove(link);
+        linkCount--;
+        link.closing = true;
+        closingLinkCount++;
+        link.closeTimer = loop.schedule(CLOSING_TIMEOUT_MS, () -> {
+            link.silent = true;
+            link.connection.close();
+        });
+        link.connection.shutdownOutputWhenDrained();
+    }
+
     private ServerLink connect(VideoServer server) {
         ServerLink link = new ServerLink(this, server, nowMs());
         server.lastCheckedAtMs = link.openedAtMs;
@@ -531,7 +556,12 @@
     private String handleUnexpectedAnswer(ServerLink link, Message message, boolean heldHere) {
         log.count("server.answer-of-none");
         if (!heldHere) {
-            link.send(Message.release(message.sessionId(), Cause.NORMAL));
+            Message release = Message.release(message.sessionId(), Cause.NORMAL);
+            if (link.closing) {
+                sendTo(link.server.number, release);
+            } else {
+                link.send(release);
+            }
         }
         return null;
     }
@@ -591,6 +621,11 @@
 
     /** Removes a link, so that nothing more is sent on it and it no longer counts towards the bound. */
     void linkRemoved(ServerLink link) {
+        if (link.closing) {
+            closingLinkCount--;
+            link.closeTimer.cancel();
+            return;
+        }
         link.server.links.remove(link);
         linkCount--;
     }
@@ -744,7 +779,7 @@
                             || link.open
                                     && nowMs - link.lastUsedAtMs > SPARE_IDLE_TIMEOUT_MS
                                     && ++spareIdleLinks > MAX_SPARE_IDLE_LINKS)) {
-                link.connection.close();
+                closeIdle(link);
             }
         }
     }
--- a/manager/src/test/java/calicovale/manager/LinkEndTest.java
+++ b/manager/src/test/java/calicovale/manager/LinkEndTest.java
@@ -8,6 +8,7 @@
 import calicovale.protocols.signal.Message;
 import calicovale.protocols.signal.MessageType;
 import calicovale.protocols.signal.Parameter;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -17,6 +18,8 @@
 class LinkEndTest {
     /** Time, in ms, after which an attempt on a link without an answer has timed out. */
     private static final double ATTEMPT_TIMEOUT_MS = 2000;
+    /** Time, in ms, after which an idle link beyond those that are kept is closed. */
+    private static final double SPARE_IDLE_MS = 3100;
     /** Step of the clock, in ms. */
     private static final int STEP_MS = 100;
     /** Time, in ms, within which the server is connected to again. */
@@ -118,4 +121,17 @@
             assertEquals(1, release.sessionId());
         }
     }
+
+    /** Guards against a release that crosses the close of a link which the manager does not need any more. */
+    @Test
+    void aReleaseThatCrossesTheCloseOfASpareLinkArrives() throws Exception {
+        try (ManagerHarness harness = newHarness();
+                Peer viewer = harness.acceptedViewer()) {
+            playOnOneLinkEach(harness, viewer, 3);
+            harness.clock.stop();
+            harness.servers.get(0).releasesAtEndOfInput.add(Message.release(1, Cause.NORMAL));
+            harness.clock.advance(SPARE_IDLE_MS);
+            assertEquals(1, viewer.next(MessageType.REL).sessionId());
+        }
+    }
 }
--- a/manager/src/test/java/calicovale/manager/ManagerHarness.java
+++ b/manager/src/test/java/calicovale/manager/ManagerHarness.java
@@ -393,6 +393,8 @@
         /** Releases that are sent on the next connection too. */
         private final Queue<Message> releasesForNextConnection = new ConcurrentLinkedQueue<>();
 
+        /** Releases that are on their way when the manager closes a connection. */
+        final Queue<Message> releasesAtEndOfInput = new ConcurrentLinkedQueue<>();
         /** Whether new connections are closed as soon as they are accepted. */
         volatile boolean closesNewConnections;
 
@@ -428,6 +430,8 @@
                                     received.add(new Received(peer, message));
                                 }
                             }
+                            peer.send(releasesAtEndOfInput.toArray(Message[]::new));
+                            peer.socket.close();
                         } finally {
                             peer.readerEnded.countDown();
                         }
