Releases to servers are sent again if their link ends unread

A release that is on its way to a server when the link is reset is lost, and the session plays on there without an owner.

Cause: what was written counted as delivered. Evidence: a server that gets a release, does not confirm it and resets the link gets nothing more in 10 s.

--- a/manager/src/main/java/calicovale/manager/servers/ServerLink.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerLink.java
@@ -77,12 +77,19 @@
     void send(Message message) {
         lastUsedAtMs = pool.nowMs();
         if (open) {
-            connection.write(message.encode());
+            write(message);
         } else {
             queued.add(message);
         }
     }
 
+    private void write(Message message) {
+        if (message.type() == MessageType.REL) {
+            pool.releaseWritten(this, message);
+        }
+        connection.write(message.encode());
+    }
+
     /** Drops the queued messages of a session. Returns whether the link has never been open, so that none was sent. */
     boolean discardUnsent(long sessionId) {
         queued.removeIf(m -> m.sessionId() == sessionId);
@@ -111,9 +118,7 @@
         lastReceivedAtMs = establishedAtMs;
         List<Message> messages = List.copyOf(queued);
         queued.clear();
-        for (Message message : messages) {
-            openedConnection.write(message.encode());
-        }
+        messages.forEach(this::write);
         if (!openedConnection.isClosed()) {
             pool.linkOpened(this);
         }
@@ -155,6 +160,7 @@
         if (!failed) {
             failed = true;
             unusable = true;
+            inputComplete = false;
             pool.linkFailed(this, reason);
         }
     }
--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -8,6 +8,7 @@
 import calicovale.ControllerApi.ServerState;
 import calicovale.host.PlatformSettings;
 import calicovale.manager.RateLimitedLog;
+import calicovale.manager.UnconfirmedReleases;
 import calicovale.manager.bus.BusEvent;
 import calicovale.manager.sessions.Session;
 import calicovale.manager.sessions.Session.State;
@@ -75,7 +76,7 @@
     private static final double EVICTED_RECONNECT_MS = 4000;
     /** Upper bound of messages that wait until a link to their server can be opened, for each server. */
     private static final int MAX_WAITING_MESSAGES = 1024;
-    /** Number of times that unsent releases are sent again, on a new link each time, while no link opens. */
+    /** Number of times that unread releases are sent again, on a new link each time, while no link opens. */
     private static final int MAX_RELEASE_RESENDS = 3;
     /**
      * Fraction by which silence timeouts and reconnect delays vary at random, because all managers notice a server's
@@ -118,6 +119,7 @@
     private final ServerNumbers numbers = new ServerNumbers();
     private final Map<Long, VideoServer> servers = new TreeMap<>();
     private final Map<Long, Attempt> attemptsBySession = new HashMap<>();
+    private final UnconfirmedReleases<ServerLink> unconfirmedReleases = new UnconfirmedReleases<>();
     private int linkCount;
     private int closingLinkCount;
 
@@ -149,6 +151,11 @@
         loop.deferDecision(message.heapBytes(), handling);
     }
 
+    /** Notes that a release was written on a link, so that it is sent again if the link ends before it is read. */
+    void releaseWritten(ServerLink link, Message release) {
+        unconfirmedReleases.add(link, release, nowMs());
+    }
+
     void deferDecision(Runnable body) {
         loop.defer(EventLoop.Phase.DECISIONS, body);
     }
@@ -502,7 +509,11 @@
         Session session = sessions.get(message.sessionId());
         boolean heldHere = session != null && session.server() == link.server.number;
         switch (message.type()) {
-            case MessageType.ACM, MessageType.RLC -> {
+            case MessageType.ACM -> {
+                return null;
+            }
+            case MessageType.RLC -> {
+                unconfirmedReleases.confirm(message.sessionId());
                 return null;
             }
             case MessageType.ANM -> {
@@ -641,6 +652,9 @@
         if (everOpen && !link.inputComplete) {
             server.lostInput.record(server.linksCreated, link.silent, nowMs());
         }
+        List<Message> unreadReleases = new ArrayList<>(releases);
+        unreadReleases.addAll(unconfirmedReleases.linkEnded(link, link.inputComplete, nowMs()));
+        resendReleases(server, unreadReleases);
         if (link.evicted) {
             // nothing is in progress on it; the server is connected to again by the periodic check
             return;
@@ -651,7 +665,6 @@
         for (Attempt attempt : List.copyOf(link.attempts.values())) {
             endAttempt(attempt, outcome, Map.of());
         }
-        resendReleases(server, releases);
         if (sessions.playingCountAt(server.number) > 0) {
             // an open link without traffic proves nothing, because a machine that failed does not close its connections
             boolean silent = !hasUsableLink || nowMs() - server.lastReceivedAtMs > settings.silenceTimeoutMs();
@@ -689,11 +702,22 @@
         return connectFailure != null && connectFailure.notAttempted() ? Outcome.MOOT : Outcome.CONNECT_FAILED;
     }
 
-    /** Sends releases again whose link ended before they were sent; without them, sessions would play on. */
+    /**
+     * Sends releases again whose link ended before the server has read them, as far as is known; without them, sessions
+     * would play on.
+     */
     private void resendReleases(VideoServer server, List<Message> releases) {
         if (!releases.isEmpty() && !server.gone && server.releaseResends++ < MAX_RELEASE_RESENDS) {
             log.count("server.release-again");
-            loop.schedule(reconnectDelayMs(server), () -> releases.forEach(release -> sendTo(server.number, release)));
+            loop.schedule(reconnectDelayMs(server), () -> releases.forEach(release -> resendRelease(server, release)));
+        }
+    }
+
+    private void resendRelease(VideoServer server, Message release) {
+        Session session = sessions.get(release.sessionId());
+        // a later attempt at the same server must not be released
+        if (session == null || session.server() != server.number) {
+            sendTo(server.number, release);
         }
     }
 
--- a/manager/src/main/java/calicovale/manager/servers/VideoServer.java
+++ b/manager/src/main/java/calicovale/manager/servers/VideoServer.java
@@ -52,7 +52,7 @@
     Timer reconnectTimer;
     /** Number of reconnect attempts since a valid message was last received from it. */
     int reconnectAttempts;
-    /** Number of consecutive links that were lost before their queued releases were sent. */
+    /** Number of consecutive links that were lost before their releases were read. */
     int releaseResends;
 
     VideoServer(long number, String name, double nowMs, double timingJitter) {
--- a/manager/src/test/java/calicovale/manager/LinkEndTest.java
+++ b/manager/src/test/java/calicovale/manager/LinkEndTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests that releases survive each way in which the connection that should carry them ends. */
 @Timeout(60)
@@ -134,4 +135,29 @@
             assertEquals(1, viewer.next(MessageType.REL).sessionId());
         }
     }
+
+    /** Guards against a release to a server that is lost with its link, so that the session plays on there. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aReleaseToAServerIsSentAgainIfItsLinkEndsUnlessTheServerConfirmedIt(boolean confirmed) throws Exception {
+        try (ManagerHarness harness = newHarness();
+                Peer viewer = harness.acceptedViewer()) {
+            FakeServer server = harness.servers.get(0);
+            Peer link = playOnOneLinkEach(harness, viewer, 1)[0];
+            viewer.send(Message.release(1, Cause.NORMAL));
+            assertEquals(MessageType.REL, server.next().message().type());
+            if (confirmed) {
+                link.send(Message.of(MessageType.RLC, 1));
+            }
+            link.reset();
+            if (confirmed) {
+                harness.awaitCount("server.link-closed", 1);
+                assertEquals(0, harness.process.counts().getOrDefault("server.release-again", 0L));
+            } else {
+                FakeServer.Received again = server.next();
+                assertEquals(MessageType.REL, again.message().type());
+                assertEquals(1, again.message().sessionId());
+            }
+        }
+    }
 }
