Releases to viewers are sent again if their connection ends unread

A release that is on its way to a viewers' front when the connection is reset, or that crosses the front's close, is never heard.

Cause: what was written counted as delivered; only a connection that was closed before the release was written was passed over. Evidence: a second front with a playing session gets nothing in 10 s in both forms.

Change: written releases are kept until they are confirmed, 8 s at most, in the same UnconfirmedReleases as those to servers, and go to another connection, or wait for one, when theirs ends by a fault, or by an orderly close within 1 s.

--- a/manager/src/main/java/calicovale/manager/viewers/PendingReleases.java
+++ b/manager/src/main/java/calicovale/manager/viewers/PendingReleases.java
@@ -3,6 +3,7 @@
 import calicovale.protocols.signal.Message;
 import java.util.ArrayDeque;
 import java.util.Iterator;
+import java.util.List;
 
 /**
  * Messages that end sessions whose own connection is closed, while no connection with a playing session is open.
@@ -62,9 +63,11 @@
         lastSentNumber = lastNumber;
     }
 
-    /** Removes all messages. */
-    void clear() {
+    /** Removes all messages and returns them, oldest first. */
+    List<Message> removeAll() {
+        List<Message> messages = pending.stream().map(Pending::message).toList();
         pending.clear();
+        return messages;
     }
 
     /** Removes messages whose time is over; returns how many of them were never sent. */
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerGateway.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerGateway.java
@@ -1,6 +1,7 @@
 package calicovale.manager.viewers;
 
 import calicovale.manager.RateLimitedLog;
+import calicovale.manager.UnconfirmedReleases;
 import calicovale.manager.sessions.Session;
 import calicovale.manager.sessions.Session.State;
 import calicovale.manager.sessions.SessionTable;
@@ -83,6 +84,7 @@
     private final Listener listener;
     private final Set<ViewerLink> links = new LinkedHashSet<>();
     private final PendingReleases pendingReleases = new PendingReleases();
+    private final UnconfirmedReleases<ViewerLink> unconfirmedReleases = new UnconfirmedReleases<>();
     private EventLoop.Listener listeningSocket;
     private double answerDeadlineMs = Double.MAX_VALUE;
 
@@ -187,7 +189,11 @@
                 link.send(Message.of(MessageType.UPA, message.sessionId())
                         .with(Parameter.CAUSE, new byte[] {Cause.PASSED}));
             }
-            case MessageType.RLC, MessageType.ACM -> log.count("viewer.heard");
+            case MessageType.RLC -> {
+                log.count("viewer.heard");
+                unconfirmedReleases.confirm(message.sessionId());
+            }
+            case MessageType.ACM -> log.count("viewer.heard");
             default ->
                 rejectMessage(
                         link, message.sessionId(), Cause.TYPE_UNKNOWN, "unexpected message of type " + message.type());
@@ -206,7 +212,9 @@
     private void countPlayingSession(ViewerLink link) {
         link.sessionsPlayed++;
         pendingReleases.sendOn(link);
-        pendingReleases.clear();
+        for (Message release : pendingReleases.removeAll()) {
+            unconfirmedReleases.add(link, release, nowMs());
+        }
     }
 
     /** Counts a valid set-up of a connection and sends the pending releases on it with the decisions of this turn. */
@@ -345,8 +353,8 @@
     }
 
     /**
-     * Marks the viewers of a closed connection's set-ups as departed. The listener is called at the end of the loop's
-     * turn, because this may be called from within a write, during a decision.
+     * Marks the viewers of a closed connection's set-ups as departed and sends its unread releases again. Both are done
+     * at the end of the loop's turn, because this may be called from within a write, during a decision.
      */
     void linkClosed(ViewerLink link) {
         links.remove(link);
@@ -354,6 +362,12 @@
             session.markDeparted();
             loop.defer(EventLoop.Phase.TERMINATIONS, () -> listener.viewerDeparted(session));
         }
+        loop.defer(EventLoop.Phase.DECISIONS, () -> {
+            for (Message unread : unconfirmedReleases.linkEnded(link, link.closedByPeer, nowMs())) {
+                log.count("viewer.release-again");
+                notifyOnAnyLink(unread);
+            }
+        });
     }
 
     // --- Sent messages ---
@@ -379,15 +393,28 @@
      */
     public void notifyViewer(Session session, Message message) {
         ViewerLink own = (ViewerLink) session.requester();
-        ViewerLink link = own.connection.isClosed() ? latestLinkWithPlayingSessions() : own;
+        if (own.connection.isClosed()) {
+            notifyOnAnyLink(message);
+        } else {
+            notifyOn(own, message);
+        }
+    }
+
+    private void notifyOn(ViewerLink link, Message message) {
+        unconfirmedReleases.add(link, message, nowMs());
+        link.send(message);
+    }
+
+    private void notifyOnAnyLink(Message message) {
+        ViewerLink link = latestLinkWithPlayingSessions();
         if (link != null) {
-            link.send(message);
+            notifyOn(link, message);
             return;
         }
         if (!pendingReleases.add(message, nowMs())) {
             log.warn(
                     "viewer.release-dropped",
-                    "message for the viewer of session " + session.controllerId() + " dropped, "
+                    "message for the viewer of session " + Message.formatSessionId(message.sessionId()) + " dropped, "
                             + pendingReleases.size() + " messages wait for a connection");
             return;
         }
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
@@ -26,6 +26,8 @@
     boolean hasSentSetUp;
     /** Number of the latest of the {@link PendingReleases} that was sent on it. */
     long lastPendingRelease;
+    /** Whether the viewers' front has ended the connection in order. */
+    boolean closedByPeer;
     /** Number of valid messages: tests and set-ups. */
     int validMessages;
     /** Number of rejected messages. */
@@ -110,6 +112,12 @@
         }
     }
 
+    @Override
+    public void onEnd(Connection ended) {
+        closedByPeer = true;
+        ended.close();
+    }
+
     @Override
     public void onClosed(Connection closed, IOException cause) {
         gateway.linkClosed(this);
--- a/manager/src/test/java/calicovale/manager/LinkEndTest.java
+++ b/manager/src/test/java/calicovale/manager/LinkEndTest.java
@@ -160,4 +160,49 @@
             }
         }
     }
+
+    /** The ways in which a viewers' front's connection ends while a release on it is not read. */
+    enum ViewerLinkEnd {
+        RESET,
+        CLOSE_THAT_CROSSES
+    }
+
+    /** Guards against a release to a viewers' front that is lost with its connection, so that it is never heard. */
+    @ParameterizedTest
+    @EnumSource(ViewerLinkEnd.class)
+    void aReleaseToAViewerIsSentAgainIfItsConnectionEnds(ViewerLinkEnd linkEnd) throws Exception {
+        try (ManagerHarness harness = newHarness();
+                Peer viewer = harness.acceptedViewer();
+                Peer otherViewer = harness.acceptedViewer()) {
+            FakeServer server = harness.servers.get(0);
+            Peer link = playOnOneLinkEach(harness, viewer, 1)[0];
+            otherViewer.send(ManagerHarness.setUp(2));
+            server.acceptSetUp();
+            otherViewer.next(MessageType.ANM);
+            link.send(Message.release(1, Cause.NORMAL));
+            harness.awaitCount("outcome.OK", 1);
+            if (linkEnd == ViewerLinkEnd.RESET) {
+                viewer.reset();
+            } else {
+                viewer.halfClose();
+            }
+            assertEquals(1, otherViewer.next(MessageType.REL).sessionId());
+        }
+    }
+
+    /** Guards against releases that are repeated although the front has confirmed them. */
+    @Test
+    void aConfirmedReleaseToAViewerIsNotSentAgain() throws Exception {
+        try (ManagerHarness harness = newHarness();
+                Peer viewer = harness.acceptedViewer()) {
+            Peer link = playOnOneLinkEach(harness, viewer, 1)[0];
+            link.send(Message.release(1, Cause.NORMAL));
+            assertEquals(1, viewer.next(MessageType.REL).sessionId());
+            viewer.send(Message.of(MessageType.RLC, 1));
+            harness.awaitCount("viewer.heard", 1);
+            viewer.reset();
+            harness.waitUntil(() -> harness.process.counts().get("links.viewers") == 0);
+            assertEquals(0, harness.process.counts().getOrDefault("viewer.release-again", 0L));
+        }
+    }
 }
