Connections that took least time are read first, and set-ups take turns

While one client sends tests at full speed, others get their answers after 692 ms at the median, 2 of 60 late; beside 20 clients with releases of unknown ids 59 of 59 are late, after 6.5 s at the median.

Cause: a turn read 4 x 64 KiB from each connection, in the selector's order and with no bound in time, and wrote each answer by a call of its own; set-ups were decided in the order of reading, all of one connection before the next one's. Evidence: trials with a scratch client; unsound set-ups, cancels, hand-overs and new names on one connection make nothing late, so decisions and tables are out.

Change: ReadFairness orders the reads by recent time and bounds those of busy connections to 5 ms a turn; answers to one read call are written together; set- ups are decided from each connection in turn (SetUpQueue). Why it works: what usual connections send is read in each turn, whatever others send.

Tests of the loop, the orders, links and the manager pass.

--- a/manager/src/main/java/calicovale/manager/ManagerProcess.java
+++ b/manager/src/main/java/calicovale/manager/ManagerProcess.java
@@ -48,7 +48,7 @@
     /** Upper bound of messages to the event loop from other threads. */
     private static final int MAILBOX_MESSAGES = 1 << 10;
     /** Size, in bytes, of the buffer for one read call. */
-    private static final int READ_BYTES = 1 << 16;
+    private static final int READ_BYTES = 1 << 14;
     /** Upper bound, in bytes, of what waits to be written to one peer. */
     private static final int MAX_PENDING_BYTES = 1 << 18;
     /** Upper bound of connections that wait to be accepted. */
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerGateway.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerGateway.java
@@ -85,6 +85,7 @@
     private final Set<ViewerLink> links = new LinkedHashSet<>();
     private final PendingReleases pendingReleases = new PendingReleases();
     private final UnconfirmedReleases<ViewerLink> unconfirmedReleases = new UnconfirmedReleases<>();
+    private final SetUpQueue setUps;
     private EventLoop.Listener listeningSocket;
     private double answerDeadlineMs = Double.MAX_VALUE;
 
@@ -96,6 +97,7 @@
         this.sessions = sessions;
         this.log = log;
         this.listener = listener;
+        setUps = new SetUpQueue(loop, this::decide);
     }
 
     double nowMs() {
@@ -277,11 +279,13 @@
                 request.giveUpMs());
         link.addUnanswered(session, heapBytes);
         // decided when all available input has been read, because a cancel or close may follow directly
-        loop.defer(EventLoop.Phase.DECISIONS, () -> {
-            if (session.state() == State.REQUESTED && !session.departed()) {
-                listener.sessionRequested(session, request);
-            }
-        });
+        setUps.add(link, session, request);
+    }
+
+    private void decide(Session session, Request request) {
+        if (session.state() == State.REQUESTED && !session.departed()) {
+            listener.sessionRequested(session, request);
+        }
     }
 
     /** Reserves the bytes of a set-up; returns false, and logs why, if it must be refused. */
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
@@ -18,6 +18,8 @@
     final double openedAtMs;
     /** Sessions of this connection whose set-ups are not answered yet, with the bytes reserved for each. */
     private final Map<Session, Integer> awaitingAnswer = new LinkedHashMap<>();
+    /** Sessions of this connection whose set-ups are not decided yet, oldest first. */
+    final Map<Session, ViewerGateway.Request> undecided = new LinkedHashMap<>();
     /** Sum of the bytes reserved for {@link #awaitingAnswer}. */
     private long reservedBytes;
     /** Whether a valid message has come: a test or a set-up. */
@@ -74,6 +76,7 @@
 
     /** Removes a session whose set-up needs no answer any more; returns false if it needed none before. */
     boolean removeUnanswered(Session session, ByteBudget budget) {
+        undecided.remove(session);
         Integer bytes = awaitingAnswer.remove(session);
         if (bytes == null) {
             return false;
@@ -83,6 +86,17 @@
         return true;
     }
 
+    /** Removes and returns the oldest set-up that is not decided yet, or returns null if there is none. */
+    Map.Entry<Session, ViewerGateway.Request> pollUndecided() {
+        var oldestFirst = undecided.entrySet().iterator();
+        if (!oldestFirst.hasNext()) {
+            return null;
+        }
+        Map.Entry<Session, ViewerGateway.Request> oldest = oldestFirst.next();
+        oldestFirst.remove();
+        return oldest;
+    }
+
     /** Removes all sessions whose set-ups are not answered yet, and returns them. */
     List<Session> removeAllUnanswered(ByteBudget budget) {
         List<Session> sessions = List.copyOf(awaitingAnswer.keySet());
--- /dev/null
+++ b/manager/src/test/java/calicovale/manager/viewers/SetUpQueueTest.java
@@ -0,0 +1,53 @@
+package calicovale.manager.viewers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import calicovale.manager.sessions.Session;
+import calicovale.manager.sessions.SessionTable;
+import calicovale.protocols.net.ByteBudget;
+import calicovale.protocols.net.Clock;
+import calicovale.protocols.net.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests the order in which set-ups are decided. */
+class SetUpQueueTest {
+    private static final int SET_UP_BYTES = 100;
+
+    private final SessionTable sessions = new SessionTable(100);
+    private final ByteBudget budget = new ByteBudget(100_000);
+
+    private Session add(SetUpQueue queue, ViewerLink link, long id) {
+        Session session = sessions.request(id, link, "talk", "title", new byte[0], 0);
+        link.reserve(budget, SET_UP_BYTES);
+        link.addUnanswered(session, SET_UP_BYTES);
+        queue.add(link, session, null);
+        return session;
+    }
+
+    /** Guards against many set-ups of one connection being decided before the first one of another. */
+    @Test
+    void connectionsTakeTurnsAndSetUpsThatWereTakenBackAreSkipped() {
+        List<Long> decided = new ArrayList<>();
+        try (EventLoop loop = new EventLoop("test", Clock.system()).start()) {
+            loop.call(() -> {
+                SetUpQueue queue = new SetUpQueue(loop, (session, request) -> decided.add(session.id()));
+                ViewerLink busy = new ViewerLink(null, null, 0);
+                ViewerLink usual = new ViewerLink(null, null, 0);
+                add(queue, busy, 1);
+                Session takenBack = add(queue, busy, 2);
+                add(queue, busy, 3);
+                add(queue, busy, 4);
+                add(queue, usual, 10);
+                busy.removeUnanswered(takenBack, budget);
+                return null;
+            });
+            while (decided.size() < 4) {
+                loop.call(() -> null);
+            }
+        }
+        assertEquals(List.of(1L, 10L, 3L, 4L), decided);
+        assertEquals(4 * SET_UP_BYTES, budget.used());
+    }
+}
--- a/protocols/src/main/java/calicovale/protocols/net/Connection.java
+++ b/protocols/src/main/java/calicovale/protocols/net/Connection.java
@@ -41,6 +41,9 @@
         default void onClosed(Connection connection, IOException cause) {}
     }
 
+    /** Upper bound of the bytes that are written together after the handling of one read call's input. */
+    private static final int MAX_BATCH_BYTES = 1 << 16;
+
     private final EventLoop loop;
     /** Null if no file descriptor was available for it; the connection then only fails. */
     private final SocketChannel channel;
@@ -50,12 +53,20 @@
     private final ArrayDeque<ByteBuffer> pending = new ArrayDeque<>();
     SelectionKey key;
     Timer connectTimer;
+    /** Time in ns that reading took lately, see {@link ReadFairness}. */
+    long recentReadNanos;
+    /** Time of the loop's clock in ns when {@link #recentReadNanos} was last halved. */
+    long recentReadSinceNanos;
+
     private Handler handler;
     private Object tapState;
     private int pendingBytes;
     private boolean established;
     private boolean closed;
     private boolean reading = true;
+    /** Whether the handler is called with input; what it writes meanwhile is written to the socket at once. */
+    private boolean handlingInput;
+
     private boolean closeWhenDrained;
     private boolean shutdownOutputWhenDrained;
 
@@ -107,6 +118,19 @@
         return closed;
     }
 
+    /**
+     * Returns whether input of the peer may lie unread in the socket, such as its close: the connection was not read to
+     * the end in this turn of the loop, or reading is paused.
+     */
+    public boolean mayHaveUnreadInput() {
+        return !reading || loop.isUnread(this);
+    }
+
+    /** Returns whether input is read, that is, reading is not paused and the peer has not ended its side. */
+    boolean isReading() {
+        return reading && !closed;
+    }
+
     /** Returns the number of bytes waiting to be written. */
     public int pendingBytes() {
         return pendingBytes;
@@ -147,11 +171,15 @@
         if (closed || closeWhenDrained || shutdownOutputWhenDrained) {
             return false;
         }
-        if (established && pending.isEmpty() && !writeToSocket(bytes)) {
+        boolean batched = handlingInput && pendingBytes + bytes.remaining() <= MAX_BATCH_BYTES;
+        if (handlingInput && !batched) {
+            writePending();
+        }
+        if (established && !batched && !closed && pending.isEmpty() && !writeToSocket(bytes)) {
             return false;
         }
-        if (!bytes.hasRemaining()) {
-            return true;
+        if (closed || !bytes.hasRemaining()) {
+            return !closed;
         }
         if (pendingBytes + bytes.remaining() > loop.limits().pendingBytes()) {
             loop.counters().pendingOverflows++;
@@ -190,6 +218,7 @@
     /** Resumes reading. */
     public void resume() {
         reading = true;
+        loop.markUnread(this);
         updateInterestOps();
     }
 
@@ -213,6 +242,9 @@
 
     /** Closes the connection at once, without a reset; queued bytes are dropped. */
     public void close() {
+        if (handlingInput) {
+            writePending();
+        }
         closeAndNotify(null, false);
     }
 
@@ -318,12 +350,21 @@
             buffer.flip();
             loop.counters().bytesRead += count;
             loop.tap().read(this, buffer.asReadOnlyBuffer());
-            handler.onBytes(this, buffer);
+            handlingInput = true;
+            try {
+                handler.onBytes(this, buffer);
+            } finally {
+                handlingInput = false;
+            }
+            if (!closed && !pending.isEmpty()) {
+                handleWritable();
+            }
         }
         return count > 0;
     }
 
-    void handleWritable() {
+    /** Writes queued bytes as far as the socket accepts them. Closes the connection if that fails. */
+    private void writePending() {
         while (!pending.isEmpty()) {
             ByteBuffer first = pending.peekFirst();
             int before = first.remaining();
@@ -337,6 +378,13 @@
             }
             pending.removeFirst();
         }
+    }
+
+    void handleWritable() {
+        writePending();
+        if (closed || !pending.isEmpty()) {
+            return;
+        }
         if (closeWhenDrained) {
             close();
             return;
--- a/protocols/src/main/java/calicovale/protocols/net/EventLoop.java
+++ b/protocols/src/main/java/calicovale/protocols/net/EventLoop.java
@@ -51,7 +51,7 @@
     private static final int MESSAGES_PER_TURN = 4096;
     /** Upper bound of the time in ms that the selector waits when no timer is due earlier. */
     private static final long IDLE_SELECT_MS = 200;
-    /** Upper bound of the read calls on one connection in one turn, so that one peer cannot starve the others. */
+    /** Upper bound of the read calls on one connection in one turn. */
     private static final int READS_PER_TURN = 4;
     /**
      * Time in ns for deferred tasks in one turn; then sockets are read again, so that input doesn't wait until a long
@@ -99,6 +99,10 @@
     /** Bytes that are kept by the tasks in {@link #decisions}. */
     private int waitingDecisionBytes;
 
+    /** Connections in whose sockets input may lie. */
+    private final Set<Connection> unread = new LinkedHashSet<>();
+
+    private final ReadFairness readFairness;
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final LoopCounters counters = new LoopCounters();
     private final ByteBuffer readBuffer;
@@ -118,6 +122,7 @@
         this.clock = clock;
         this.limits = limits;
         this.tap = tap;
+        readFairness = new ReadFairness(clock);
         try {
             selector = Selector.open();
         } catch (IOException e) {
@@ -345,6 +350,18 @@
 
     void remove(Connection connection) {
         connections.remove(connection);
+        unread.remove(connection);
+    }
+
+    boolean isUnread(Connection connection) {
+        return unread.contains(connection);
+    }
+
+    /** Has a connection read in the next turn, whether or not the selector reports it. */
+    void markUnread(Connection connection) {
+        if (connection.isReading() && connection.isEstablished()) {
+            unread.add(connection);
+        }
     }
 
     private void run() {
@@ -407,7 +424,7 @@
     }
 
     private long selectTimeoutMs() {
-        if (!mailbox.isEmpty() || !terminations.isEmpty() || !decisions.isEmpty()) {
+        if (!mailbox.isEmpty() || !terminations.isEmpty() || !decisions.isEmpty() || !unread.isEmpty()) {
             return 0;
         }
         ScheduledTimer next = timers.peek();
@@ -419,36 +436,51 @@
     }
 
     private void readReady(List<SelectionKey> ready) {
-        List<Connection> readyConnections = new ArrayList<>(ready.size());
         for (SelectionKey key : ready) {
-            if (key.attachment() instanceof Connection connection) {
-                readyConnections.add(connection);
-            } else if (mayRead() && key.isValid() && key.attachment() instanceof UdpSocket datagrams) {
+            if (!key.isValid()) {
+                continue;
+            }
+            if (key.attachment() instanceof UdpSocket datagrams && mayRead()) {
                 runGuarded(() -> datagrams.handleReadable(readBuffer));
+            } else if (key.attachment() instanceof Connection connection) {
+                // a select call during a turn may leave the key of an established connection marked as connectable
+                if (key.isConnectable() && !connection.isEstablished()) {
+                    key.interestOps(0);
+                    runForConnection(connection, connection::handleConnectable);
+                } else {
+                    markUnread(connection);
+                }
             }
         }
+        readUnread();
+    }
+
+    private void readUnread() {
+        List<Connection> inOrder = new ArrayList<>(unread);
+        readFairness.beginTurn(inOrder);
         if (readOrder != null) {
-            readyConnections.sort(readOrder);
+            inOrder.sort(readOrder);
         }
-        for (Connection c : readyConnections) {
-            if (c.isClosed() || !c.key.isValid()) {
-                continue;
+        for (Connection connection : inOrder) {
+            if (!connection.isReading()) {
+                unread.remove(connection);
+            } else {
+                runForConnection(connection, () -> readConnection(connection));
             }
-            if (!mayRead()) {
+        }
+    }
+
+    /** Reads on after the first read call, because the peer's close may follow its request. */
+    private void readConnection(Connection connection) {
+        for (int i = 0; i < READS_PER_TURN && mayRead() && readFairness.mayRead(connection); i++) {
+            long startedAtNanos = clock.nanos();
+            boolean wasRead = connection.handleReadable(readBuffer);
+            readFairness.charge(connection, startedAtNanos);
+            if (!wasRead) {
+                unread.remove(connection);
                 return;
             }
-            // a select call during this turn may leave the key of an established connection marked as connectable
-            if (c.key.isConnectable() && !c.isEstablished()) {
-                c.key.interestOps(0);
-                runForConnection(c, c::handleConnectable);
-            } else if (c.isEstablished()) {
-                runForConnection(c, () -> {
-                    // read on, because the peer's close may follow its request
-                    for (int i = 0; i < READS_PER_TURN && mayRead() && c.handleReadable(readBuffer); i++) {
-                        counters.reads++;
-                    }
-                });
-            }
+            counters.reads++;
         }
     }
 
--- a/protocols/src/test/java/calicovale/protocols/net/EventLoopTest.java
+++ b/protocols/src/test/java/calicovale/protocols/net/EventLoopTest.java
@@ -5,6 +5,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -99,6 +100,87 @@
         assertTrue(mostWaitingBytes.get() <= (1 << 20) + (1 << 16), mostWaitingBytes + " bytes waited");
     }
 
+    /** Guards against peers at full speed that keep the input of usual peers waiting. */
+    @Test
+    void peersAtFullSpeedDoNotDelayTheInputOfOthers() throws Exception {
+        int floodingPeers = 50;
+        int readsBefore = 4 * floodingPeers;
+        ManualClock clock = new ManualClock();
+        AtomicLong sentAtNanos = new AtomicLong();
+        CompletableFuture<Long> readAtNanos = new CompletableFuture<>();
+        try (ServerSocket server = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
+                EventLoop loop = new EventLoop("test", clock).start()) {
+            InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+            List<Socket> peers = new ArrayList<>();
+            loop.call(() -> loop.connect(address, "usual", 10_000, (c, bytes) -> {
+                bytes.position(bytes.limit());
+                readAtNanos.complete(clock.nanos());
+            }));
+            Socket usualPeer = server.accept();
+            peers.add(usualPeer);
+            AtomicLong reads = new AtomicLong();
+            for (int i = 0; i < floodingPeers; i++) {
+                loop.call(() -> loop.connect(address, "flood", 10_000, (c, bytes) -> {
+                    bytes.position(bytes.limit());
+                    clock.advance(3_000_000);
+                    if (reads.incrementAndGet() == readsBefore) {
+                        sentAtNanos.set(clock.nanos());
+                        sendByte(usualPeer);
+                    }
+                }));
+                Socket peer = server.accept();
+                peers.add(peer);
+                Thread writer = new Thread(() -> sendWithoutEnd(peer));
+                writer.setDaemon(true);
+                writer.start();
+            }
+            long delayMs = (readAtNanos.get(20, TimeUnit.SECONDS) - sentAtNanos.get()) / 1_000_000;
+            assertTrue(delayMs <= 50, "read after " + delayMs + " ms");
+            for (Socket peer : peers) {
+                peer.close();
+            }
+        }
+    }
+
+    private static void sendByte(Socket socket) {
+        try {
+            socket.getOutputStream().write(1);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void sendWithoutEnd(Socket socket) {
+        byte[] bytes = new byte[1 << 16];
+        try {
+            while (true) {
+                socket.getOutputStream().write(bytes);
+            }
+        } catch (IOException e) {
+            // the test has ended
+            return;
+        }
+    }
+
+    /** A clock that only the test moves. */
+    private static final class ManualClock implements Clock {
+        private final AtomicLong nanos = new AtomicLong();
+
+        void advance(long byNanos) {
+            nanos.addAndGet(byNanos);
+        }
+
+        @Override
+        public long nanos() {
+            return nanos.get();
+        }
+
+        @Override
+        public double millis() {
+            return nanos.get() / 1e6;
+        }
+    }
+
     @Test
     void closedConnectionReleasesItsDescriptorBeforeTheNextOpens() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 500, InetAddress.getLoopbackAddress());
