Output that waits for slow readers is bounded in bytes over all peers

Clients that read nothing leave 256 KiB each waiting, and small answers take many times their size.

Cause: output was bounded for each peer only, each message was a buffer of its own, and a client that reads nothing was read on. Evidence: 8 MiB of writes of 11 bytes took 71.8 MB of heap; 40 connections kept 9.8 MB beside any bound on the sum.

Measured: the tests of EventLoopTest (two) and ResourceBoundsTest fail with their bounds taken out and pass; EventLoopTest, HttpServerTest, EventOrderTest and LinkEndTest pass.

--- a/front/src/main/java/calicovale/front/settings/FrontSettings.java
+++ b/front/src/main/java/calicovale/front/settings/FrontSettings.java
@@ -429,6 +429,7 @@
                 node.path("mailbox").asInt(defaults.mailbox()),
                 node.path("readBytes").asInt(defaults.readBytes()),
                 node.path("pendingBytes").asInt(defaults.pendingBytes()),
+                node.path("totalPendingBytes").asLong(defaults.totalPendingBytes()),
                 node.path("backlog").asInt(defaults.backlog()),
                 node.path("acceptsPerTurn").asInt(defaults.acceptsPerTurn()),
                 node.path("datagramsPerTurn").asInt(defaults.datagramsPerTurn()));
--- a/manager/src/main/java/calicovale/manager/ManagerProcess.java
+++ b/manager/src/main/java/calicovale/manager/ManagerProcess.java
@@ -51,6 +51,8 @@
     private static final int READ_BYTES = 1 << 14;
     /** Upper bound, in bytes, of what waits to be written to one peer. */
     private static final int MAX_PENDING_BYTES = 1 << 18;
+    /** Part of the heap that may wait to be written to all peers. */
+    private static final int PENDING_BYTES_HEAP_DIVISOR = 16;
     /** Upper bound of connections that wait to be accepted. */
     private static final int ACCEPT_BACKLOG = 512;
     /** Upper bound of connections accepted in one turn of the event loop. */
@@ -62,6 +64,7 @@
             MAILBOX_MESSAGES,
             READ_BYTES,
             MAX_PENDING_BYTES,
+            Runtime.getRuntime().maxMemory() / PENDING_BYTES_HEAP_DIVISOR,
             ACCEPT_BACKLOG,
             MAX_ACCEPTS_PER_TURN,
             MAX_DATAGRAMS_PER_TURN);
--- a/manager/src/main/java/calicovale/manager/SessionCoordinator.java
+++ b/manager/src/main/java/calicovale/manager/SessionCoordinator.java
@@ -76,6 +76,8 @@
      * within 3 s.
      */
     private static final double VALID_MESSAGE_TIMEOUT_MS = 2000;
+    /** Time, in ms, after which a connection is closed whose peer does not read what it is sent. */
+    private static final double NOT_READING_TIMEOUT_MS = 5000;
     /** Largest accepted wait of a viewer as a multiple of its class's deadline; longer ones are rejected as invalid. */
     private static final double MAX_WAIT_MULTIPLE = 2;
     /** Time, in ms, after which opening a link to a server fails if the settings state none. */
@@ -165,6 +167,7 @@
                         new ByteBudget(Runtime.getRuntime().maxMemory() / SET_UPS_HEAP_DIVISOR),
                         controller.limits().retryAfterMs(),
                         VALID_MESSAGE_TIMEOUT_MS,
+                        NOT_READING_TIMEOUT_MS,
                         platform.classes(),
                         controller.classes().stream()
                                 .map(c -> MAX_WAIT_MULTIPLE * c.deadlineMs())
@@ -262,6 +265,7 @@
         all.put("held.out", (long) sessions.count(State.REQUESTED) + sessions.count(State.ATTEMPTING));
         all.put("held.standing", (long) sessions.count(State.PLAYING));
         all.put("bytes.set-ups", viewers.setUpBytes());
+        all.put("bytes.unwritten", loop.pendingBytes().used());
         all.put("links.viewers", (long) viewers.linkCount());
         all.put("links.servers", (long) servers.linkCount());
         all.put("servers", (long) servers.serverCount());
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerGateway.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerGateway.java
@@ -448,10 +448,13 @@
             boolean noValidMessage =
                     !link.hasSentValidMessage && nowMs - link.openedAtMs > settings.validMessageTimeoutMs();
             boolean partialMessage = link.partialSinceMs > 0
+                    && link.unwrittenSinceMs == 0
                     && nowMs - link.partialSinceMs > settings.validMessageTimeoutMs()
                     && link.unansweredSetUps() == 0;
-            if (noValidMessage || partialMessage) {
-                log.count(noValidMessage ? "viewer.mute" : "viewer.half");
+            boolean notReading =
+                    link.unwrittenSinceMs > 0 && nowMs - link.unwrittenSinceMs > settings.notReadingTimeoutMs();
+            if (noValidMessage || partialMessage || notReading) {
+                log.count(noValidMessage ? "viewer.mute" : partialMessage ? "viewer.half" : "viewer.not-reading");
                 link.connection.close();
             }
         }
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
@@ -14,6 +14,9 @@
 
 /** One connection of a viewers' front, with the set-ups that wait for an answer on it. */
 final class ViewerLink implements Connection.Handler, Session.Requester {
+    /** Bytes waiting to be written above which nothing is read from the connection. */
+    private static final int MAX_UNWRITTEN_BYTES = 1 << 16;
+
     final Connection connection;
     final double openedAtMs;
     /** Sessions of this connection whose set-ups are not answered yet, with the bytes reserved for each. */
@@ -41,6 +44,8 @@
     double lastUsedAtMs;
     /** Clock time, in ms, when an incomplete message began; 0: there is none. */
     double partialSinceMs;
+    /** Clock time, in ms, when reading was paused because too much waits to be written; 0: it is not paused. */
+    double unwrittenSinceMs;
 
     private final ViewerGateway gateway;
     private final SignalParser parser = new SignalParser();
@@ -104,8 +109,23 @@
         return sessions;
     }
 
+    /** Sends a message. If the front does not read what it is sent, nothing more is read from it meanwhile. */
     void send(Message message) {
         connection.write(message.encode());
+        if (unwrittenSinceMs == 0 && connection.pendingBytes() > MAX_UNWRITTEN_BYTES) {
+            unwrittenSinceMs = gateway.nowMs();
+            connection.pause();
+        }
+    }
+
+    @Override
+    public void onDrained(Connection drained) {
+        if (unwrittenSinceMs > 0) {
+            unwrittenSinceMs = 0;
+            // the rest of a message could not be read meanwhile
+            partialSinceMs = partialSinceMs > 0 ? gateway.nowMs() : 0;
+            drained.resume();
+        }
     }
 
     @Override
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerSettings.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerSettings.java
@@ -14,6 +14,7 @@
  * @param validMessageTimeoutMs time, in ms, after which a connection is closed that has sent no valid message, or that
  *     has an incomplete message and no set-up that waits for its answer; also the time after which an incomplete
  *     message no longer delays the end of a drain
+ * @param notReadingTimeoutMs time, in ms, after which a connection is closed on which too much waits to be written
  * @param classes names of the session classes, in the settings' order
  * @param maxWaitMsByClass for each class: the longest wait, in ms, that a viewer may state
  * @param cells number of cells, which bounds a title's home cell; 0: it is not checked
@@ -25,6 +26,7 @@
         ByteBudget setUpBytes,
         double retryAfterMs,
         double validMessageTimeoutMs,
+        double notReadingTimeoutMs,
         List<String> classes,
         List<Double> maxWaitMsByClass,
         int cells,
--- a/manager/src/test/java/calicovale/manager/ResourceBoundsTest.java
+++ b/manager/src/test/java/calicovale/manager/ResourceBoundsTest.java
@@ -8,6 +8,8 @@
 import calicovale.protocols.signal.Cause;
 import calicovale.protocols.signal.Message;
 import calicovale.protocols.signal.MessageType;
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -17,6 +19,8 @@
 class ResourceBoundsTest {
     /** Number of rounds, which take one hour in all. */
     private static final int ROUNDS = 120;
+    /** Number of test messages that a client sends in one piece. */
+    private static final int TESTS_AT_ONCE = 10_000;
     /** Time, in ms, by which the clock is advanced in each round. */
     private static final double ROUND_MS = 30_000;
 
@@ -72,4 +76,35 @@
             assertTrue(connections <= 1, connections + " connections");
         }
     }
+
+    /** Guards against a client that reads nothing: it is not read from, and closed after a while. */
+    @Test
+    void aClientThatDoesNotReadItsAnswersIsPausedAndClosed() throws Exception {
+        try (ManagerHarness harness = new ManagerHarness(1);
+                Peer client = harness.acceptedViewer()) {
+            byte[] test = Message.of(MessageType.UPT, 1).encode().array();
+            ByteBuffer manyTests = ByteBuffer.allocate(TESTS_AT_ONCE * test.length);
+            while (manyTests.hasRemaining()) {
+                manyTests.put(test);
+            }
+            Thread sender = new Thread(() -> sendUntilClosed(client, manyTests.array()));
+            sender.start();
+            harness.waitUntil(() -> harness.process.counts().get("bytes.unwritten") > 0);
+            harness.clock.advance(6000);
+            harness.awaitCount("viewer.not-reading", 1);
+            sender.join();
+            harness.waitUntil(() -> harness.process.counts().get("bytes.unwritten") == 0);
+        }
+    }
+
+    private static void sendUntilClosed(Peer client, byte[] bytes) {
+        try {
+            while (true) {
+                client.sendBytes(bytes);
+            }
+        } catch (IOException e) {
+            // the manager has closed the connection
+            return;
+        }
+    }
 }
--- a/protocols/src/main/java/calicovale/protocols/net/Connection.java
+++ b/protocols/src/main/java/calicovale/protocols/net/Connection.java
@@ -10,7 +10,7 @@
 
 /**
  * A TCP connection of an event loop, with a queue of bytes to be written that is bounded by
- * {@link LoopLimits#pendingBytes()}. Reading can be paused to apply backpressure. All methods must be called on the
+ * {@link LoopLimits#pendingBytes()} and, with those of all others, by {@link LoopLimits#totalPendingBytes()}. Reading can be paused to apply backpressure. All methods must be called on the
  * loop's thread.
  */
 public final class Connection {
@@ -44,6 +44,9 @@
     /** Upper bound of the bytes that are written together after the handling of one read call's input. */
     private static final int MAX_BATCH_BYTES = 1 << 16;
 
+    /** Size of a buffer into which small writes are copied while they wait. */
+    private static final int CHUNK_BYTES = 4096;
+
     private final EventLoop loop;
     /** Null if no file descriptor was available for it; the connection then only fails. */
     private final SocketChannel channel;
@@ -60,11 +63,14 @@
 
     private Handler handler;
     private Object tapState;
+    /** The last buffer of {@link #pending} if further bytes may be copied into it, else null. */
+    private ByteBuffer lastChunk;
+
     private int pendingBytes;
     private boolean established;
     private boolean closed;
     private boolean reading = true;
-    /** Whether the handler is called with input; what it writes meanwhile is written to the socket at once. */
+    /** Whether the handler is called with input; what it writes meanwhile goes to the socket together. */
     private boolean handlingInput;
 
     private boolean closeWhenDrained;
@@ -181,17 +187,36 @@
         if (closed || !bytes.hasRemaining()) {
             return !closed;
         }
-        if (pendingBytes + bytes.remaining() > loop.limits().pendingBytes()) {
+        int count = bytes.remaining();
+        if (pendingBytes + count > loop.limits().pendingBytes()
+                || !loop.pendingBytes().reserve(pendingBytes, count)) {
             loop.counters().pendingOverflows++;
-            reset(new IOException("more than " + loop.limits().pendingBytes() + " bytes are waiting for a slow peer"));
+            reset(new IOException("too many bytes are waiting for a slow peer: " + pendingBytes + ", and "
+                    + loop.pendingBytes().used() + " for all peers"));
             return false;
         }
-        pending.addLast(bytes);
-        pendingBytes += bytes.remaining();
+        pendingBytes += count;
+        queue(bytes);
         updateInterestOps();
         return true;
     }
 
+    /** Queues bytes; few bytes are copied behind earlier ones, because many small buffers take a multiple of memory. */
+    private void queue(ByteBuffer bytes) {
+        int count = bytes.remaining();
+        if (count > CHUNK_BYTES / 2) {
+            pending.addLast(bytes);
+            lastChunk = null;
+            return;
+        }
+        if (lastChunk == null || lastChunk.capacity() - lastChunk.limit() < count) {
+            lastChunk = ByteBuffer.allocate(CHUNK_BYTES).limit(0);
+            pending.addLast(lastChunk);
+        }
+        int end = lastChunk.limit();
+        lastChunk.limit(end + count).put(end, bytes, bytes.position(), count);
+    }
+
     private boolean writeToSocket(ByteBuffer bytes) {
         int start = bytes.position();
         try {
@@ -270,6 +295,8 @@
     void closeSocket(boolean withReset) {
         closed = true;
         pending.clear();
+        lastChunk = null;
+        loop.pendingBytes().release(pendingBytes);
         pendingBytes = 0;
         if (connectTimer != null) {
             connectTimer.cancel();
@@ -372,11 +399,13 @@
                 return;
             }
             pendingBytes -= before - first.remaining();
+            loop.pendingBytes().release(before - first.remaining());
             if (first.hasRemaining()) {
                 updateInterestOps();
                 return;
             }
             pending.removeFirst();
+            lastChunk = pending.isEmpty() ? null : lastChunk;
         }
     }
 
--- a/protocols/src/main/java/calicovale/protocols/net/EventLoop.java
+++ b/protocols/src/main/java/calicovale/protocols/net/EventLoop.java
@@ -105,6 +105,9 @@
     private final ReadFairness readFairness;
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final LoopCounters counters = new LoopCounters();
+    /** Bytes that wait to be written to all peers. */
+    private final ByteBudget pendingBytes;
+
     private final ByteBuffer readBuffer;
     private final long originNanos;
     private final CompletableFuture<Void> termination = new CompletableFuture<>();
@@ -123,6 +126,7 @@
         this.limits = limits;
         this.tap = tap;
         readFairness = new ReadFairness(clock);
+        pendingBytes = new ByteBudget(limits.totalPendingBytes());
         try {
             selector = Selector.open();
         } catch (IOException e) {
@@ -164,6 +168,11 @@
         return tap;
     }
 
+    /** Returns the budget of the bytes that wait to be written to all peers. */
+    public ByteBudget pendingBytes() {
+        return pendingBytes;
+    }
+
     /** Returns the number of connections that are open or being established. */
     public int connectionCount() {
         return connections.size();
--- a/protocols/src/test/java/calicovale/protocols/http/HttpServerTest.java
+++ b/protocols/src/test/java/calicovale/protocols/http/HttpServerTest.java
@@ -35,7 +35,8 @@
 
     @BeforeEach
     void start() {
-        loop = new EventLoop("test", Clock.system(), new LoopLimits(1024, 4096, 1 << 16, 64, 16, 64), Tap.NONE).start();
+        loop = new EventLoop("test", Clock.system(), new LoopLimits(1024, 4096, 1 << 16, 1 << 24, 64, 16, 64), Tap.NONE)
+                .start();
         server = new HttpServer(loop, "server", LIMITS, this::handle);
         address = loop.call(() -> server.listen(ANY_PORT));
     }
--- a/protocols/src/test/java/calicovale/protocols/net/EventLoopTest.java
+++ b/protocols/src/test/java/calicovale/protocols/net/EventLoopTest.java
@@ -100,6 +100,64 @@
         assertTrue(mostWaitingBytes.get() <= (1 << 20) + (1 << 16), mostWaitingBytes + " bytes waited");
     }
 
+    /** Guards against output that peers do not read being bounded for each peer only, and not for all together. */
+    @Test
+    void outputThatManyPeersDoNotReadIsBoundedInAll() throws Exception {
+        int peerCount = 40;
+        int totalBytes = 1 << 20;
+        LoopLimits limits = new LoopLimits(64, 4096, 1 << 18, totalBytes, 64, 64, 1);
+        try (ServerSocket server = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
+                EventLoop loop = new EventLoop("test", Clock.system(), limits, Tap.NONE).start()) {
+            InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+            List<Connection> connections = new ArrayList<>();
+            // not connected yet, so that all output waits
+            int waitingBytes = loop.call(() -> {
+                for (int i = 0; i < peerCount; i++) {
+                    Connection connection = loop.connect(address, "test", 10_000, DISCARDING_HANDLER);
+                    connections.add(connection);
+                    for (int n = 0; n < 15; n++) {
+                        connection.write(ByteBuffer.allocate(1 << 14));
+                    }
+                }
+                return connections.stream().mapToInt(Connection::pendingBytes).sum();
+            });
+            assertTrue(waitingBytes <= totalBytes, waitingBytes + " bytes wait");
+            loop.call(() -> {
+                connections.forEach(Connection::close);
+                return null;
+            });
+            assertEquals(0, loop.call(() -> loop.pendingBytes().used()));
+        }
+    }
+
+    /** Guards against small answers taking many times their size while their peer does not read them. */
+    @Test
+    void smallWritesThatWaitTakeLittleMoreMemoryThanTheirBytes() throws Exception {
+        int waitingBytes = 8 << 20;
+        int writeBytes = 11;
+        LoopLimits limits = new LoopLimits(64, 4096, waitingBytes, 4L * waitingBytes, 64, 64, 1);
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                EventLoop loop = new EventLoop("test", Clock.system(), limits, Tap.NONE).start()) {
+            InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+            long heapBefore = usedHeap();
+            Connection connection = loop.call(() -> {
+                Connection unread = loop.connect(address, "test", 10_000, DISCARDING_HANDLER);
+                for (int i = 0; i < waitingBytes / writeBytes; i++) {
+                    unread.write(ByteBuffer.allocate(writeBytes));
+                }
+                unread.pause();
+                return unread;
+            });
+            long heapBytes = usedHeap() - heapBefore;
+            assertTrue(heapBytes <= 2L * waitingBytes, heapBytes + " bytes for " + connection.pendingBytes());
+        }
+    }
+
+    private static long usedHeap() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
     /** Guards against peers at full speed that keep the input of usual peers waiting. */
     @Test
     void peersAtFullSpeedDoNotDelayTheInputOfOthers() throws Exception {
