A connection is closed for half a message only if that message is late

Cause: the time since which a message is incomplete was kept while each read ended within a message, whichever it was (2 s for viewers, 250 ms for servers), and ran on while the manager itself did not read. Evidence: a connection whose messages complete once a second, with half of the next behind, is closed.

Change: the time begins anew with each complete message, and a connection with unread input is not closed for it.

Measured: ResourceBoundsTest.aConnectionWhoseMessagesCompleteOneAfterTheOtherIs- NotClosed failed before and passes.

--- a/manager/src/main/java/calicovale/manager/servers/ServerLink.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerLink.java
@@ -132,6 +132,7 @@
         server.lostInput.serverHeard(lastReceivedAtMs);
         try {
             parser.feed(bytes, message -> {
+                partialSinceMs = 0;
                 pool.deferMessage(message, () -> handle(message));
                 return true;
             });
--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -796,7 +796,9 @@
         double nowMs = nowMs();
         int spareIdleLinks = 0;
         for (ServerLink link : List.copyOf(server.links)) {
-            if (link.partialSinceMs > 0 && nowMs - link.partialSinceMs > PARTIAL_MESSAGE_TIMEOUT_MS) {
+            if (link.partialSinceMs > 0
+                    && nowMs - link.partialSinceMs > PARTIAL_MESSAGE_TIMEOUT_MS
+                    && !link.connection.mayHaveUnreadInput()) {
                 link.fail("message still incomplete after " + (long) PARTIAL_MESSAGE_TIMEOUT_MS + " ms");
             } else if (link.attempts.isEmpty()
                     && (link.unusable
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerGateway.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerGateway.java
@@ -448,7 +448,7 @@
             boolean noValidMessage =
                     !link.hasSentValidMessage && nowMs - link.openedAtMs > settings.validMessageTimeoutMs();
             boolean partialMessage = link.partialSinceMs > 0
-                    && link.unwrittenSinceMs == 0
+                    && !link.connection.mayHaveUnreadInput()
                     && nowMs - link.partialSinceMs > settings.validMessageTimeoutMs()
                     && link.unansweredSetUps() == 0;
             boolean notReading =
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerLink.java
@@ -133,6 +133,7 @@
         lastUsedAtMs = gateway.nowMs();
         try {
             parser.feed(bytes, message -> {
+                partialSinceMs = 0;
                 gateway.handle(this, message);
                 return !source.isClosed();
             });
--- a/manager/src/test/java/calicovale/manager/ResourceBoundsTest.java
+++ b/manager/src/test/java/calicovale/manager/ResourceBoundsTest.java
@@ -10,6 +10,7 @@
 import calicovale.protocols.signal.MessageType;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -107,4 +108,27 @@
             return;
         }
     }
+
+    /** Guards against a connection being closed for half a message while one message after the other completes. */
+    @Test
+    void aConnectionWhoseMessagesCompleteOneAfterTheOtherIsNotClosed() throws Exception {
+        try (ManagerHarness harness = new ManagerHarness(1);
+                Peer client = harness.acceptedViewer()) {
+            byte[] test = Message.of(MessageType.UPT, 1).encode().array();
+            byte[] firstHalf = Arrays.copyOf(test, test.length / 2);
+            byte[] otherHalf = Arrays.copyOfRange(test, test.length / 2, test.length);
+            client.sendBytes(firstHalf);
+            for (int i = 0; i < 4; i++) {
+                harness.clock.advance(1000);
+                harness.inOneLoopTurn(() -> {
+                    client.sendBytes(otherHalf);
+                    client.sendBytes(firstHalf);
+                });
+                assertEquals(MessageType.UPA, client.next().type());
+            }
+            client.sendBytes(otherHalf);
+            assertEquals(MessageType.UPA, client.next().type());
+            assertEquals(0, harness.process.counts().getOrDefault("viewer.half", 0L));
+        }
+    }
 }
