An id for which an attempt was made is not sent to a server again

Cause: an id was refused only while its session was held. Evidence: tests in which the first attempt was sent before its client left, or whose session is over, show 3 and 2 attempts where 1 is allowed.

Measured: EventOrderTest.anIdThatWasSentToAServerIsNotSentAgainAfterItsViewers- Departure (3 forms) and anIdOfASessionThatIsOverIsNotSentAgain failed before and pass; all tests of the manager pass.

--- a/manager/src/main/java/calicovale/manager/sessions/SessionTable.java
+++ b/manager/src/main/java/calicovale/manager/sessions/SessionTable.java
@@ -19,6 +19,7 @@
     private final int capacity;
     private final Map<Long, Session> sessionsById = new HashMap<>();
     private final Map<Long, Set<Session>> playingByServer = new HashMap<>();
+    private final UsedSessionIds usedIds = new UsedSessionIds();
     private final EnumMap<State, Integer> countByState = new EnumMap<>(State.class);
 
     /** Creates an empty table for at most {@code capacity} sessions. */
@@ -79,6 +80,12 @@
         session.server = server;
         session.attemptCount++;
         session.attemptSentAtMs = nowMs;
+        usedIds.add(session.id(), nowMs);
+    }
+
+    /** Returns whether an attempt was made lately for a session with this id, held or not. */
+    public boolean wasAttempted(long id) {
+        return usedIds.contains(id);
     }
 
     /** Ends an attempt without a session: attempting to requested. */
--- a/manager/src/main/java/calicovale/manager/viewers/ViewerGateway.java
+++ b/manager/src/main/java/calicovale/manager/viewers/ViewerGateway.java
@@ -260,6 +260,14 @@
             rejectDuplicate(link, held);
             return;
         }
+        if (sessions.wasAttempted(message.sessionId())) {
+            rejectMessage(
+                    link,
+                    message.sessionId(),
+                    Cause.INVALID_REFERENCE,
+                    "set-up with the id of an earlier session, which may have run");
+            return;
+        }
         countSetUp(link);
         int heapBytes = setUp.heapBytes();
         if (!reserveForSetUp(link, heapBytes)) {
--- a/manager/src/test/java/calicovale/manager/EventOrderTest.java
+++ b/manager/src/test/java/calicovale/manager/EventOrderTest.java
@@ -158,6 +158,44 @@
         }
     }
 
+    /** Guards against a session that runs twice because its id comes again after its viewer has left. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Departure.class,
+            names = {"CLOSE", "RESET", "CANCEL"})
+    void anIdThatWasSentToAServerIsNotSentAgainAfterItsViewersDeparture(Departure departure) throws Exception {
+        try (ManagerHarness harness = new ManagerHarness(2);
+                Peer viewer = harness.acceptedViewer();
+                Peer sameViewerLater = harness.acceptedViewer()) {
+            viewer.send(ManagerHarness.setUp(1));
+            harness.serverWithMessage().next();
+            departure.run(viewer, 1);
+            harness.awaitCount("departed", 1);
+            awaitNoSessions(harness);
+            sameViewerLater.send(ManagerHarness.setUp(1));
+            Message answer = sameViewerLater.next(MessageType.REL);
+            assertEquals(1, count(harness, "attempts"));
+            assertEquals(Cause.INVALID_REFERENCE, answer.cause());
+        }
+    }
+
+    /** Guards against a session that runs twice because its id comes again after its end. */
+    @Test
+    void anIdOfASessionThatIsOverIsNotSentAgain() throws Exception {
+        try (ManagerHarness harness = new ManagerHarness(1);
+                Peer viewer = harness.acceptedViewer()) {
+            viewer.send(ManagerHarness.setUp(1));
+            FakeServer.Received setUp = harness.servers.get(0).acceptSetUp();
+            assertEquals(MessageType.ANM, viewer.next().type());
+            setUp.peer().send(Message.release(1, Cause.NORMAL));
+            assertEquals(MessageType.REL, viewer.next().type());
+            viewer.send(ManagerHarness.setUp(1), Message.of(MessageType.UPT, 2));
+            Message answer = viewer.next(MessageType.REL);
+            assertEquals(1, count(harness, "attempts"));
+            assertEquals(Cause.INVALID_REFERENCE, answer.cause());
+        }
+    }
+
     @ParameterizedTest
     @EnumSource(Departure.class)
     void aSetUpFollowedByItsViewersDepartureIsNotForwarded(Departure departure) throws Exception {
