An address belongs to the server that started there last

After a restart 2 of 24 set-ups of a lesson go to the new node at a dead one's address, which does not hold the lesson.

Cause: (1) the known events were merged into a map sorted by id, so the last id owned the address; (2) any late news of the former server took the address back; (3) the controller was not told that a server had lost its address, and went on to choose it.

Change: known events keep their order; of two servers at one address the one with the later start owns it, else the one told last, a terminated one never; the one that loses it is reported as gone at once.

--- a/manager/src/main/java/calicovale/manager/SessionCoordinator.java
+++ b/manager/src/main/java/calicovale/manager/SessionCoordinator.java
@@ -33,7 +33,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -189,13 +188,17 @@
 
     /** Raises the server list that results from all events known at the start. */
     private void raiseKnownServers(ManagerConfig config) {
-        Map<String, BusEvent.Entry> entries = new TreeMap<>();
+        // in the order in which they were told, because an address belongs to the server that was told last
+        Map<String, BusEvent.Entry> entries = new LinkedHashMap<>();
         long generation = 0;
         for (BusEvent event : config.knownEvents()) {
             if (event.complete()) {
                 entries.clear();
             }
-            event.entries().forEach(entry -> entries.put(entry.id(), entry));
+            for (BusEvent.Entry entry : event.entries()) {
+                entries.remove(entry.id());
+                entries.put(entry.id(), entry);
+            }
             generation = event.generation();
         }
         host.raise(servers.apply(
--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -24,8 +24,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
@@ -181,68 +183,96 @@
 
     /** Applies an event of the bus and returns the list, of the given scope, to report to the controller. */
     public ServerList apply(BusEvent event, ListScope scope) {
-        List<ServerEntry> entries = new ArrayList<>();
-        List<VideoServer> named = new ArrayList<>();
+        // the servers to report, in the event's order, with those that lose their address to one of them
+        Set<VideoServer> changed = new LinkedHashSet<>();
         for (BusEvent.Entry entry : event.entries()) {
             VideoServer server = serverNamed(entry.id());
-            server.listed = true;
-            named.add(server);
-            applyEntry(server, entry);
-            ServerState state =
-                    switch (entry.lifecycle()) {
-                        case IN_SERVICE -> ServerState.READY;
-                        case TERMINATING -> ServerState.DRAINING;
-                        case TERMINATED -> ServerState.GONE;
-                    };
-            entries.add(new ServerEntry(
-                    server.number,
-                    state,
-                    Math.max(0, platform.kinds().indexOf(entry.kind())),
-                    Math.max(0, platform.zones().indexOf(entry.zone())),
-                    entry.cell(),
-                    entry.startedAtMs(),
-                    entry.weight()));
+            server.entry = entry;
+            changed.add(server);
+            applyEntry(server, changed);
         }
         if (event.complete()) {
             for (VideoServer server : servers.values()) {
-                server.gone |= !named.contains(server);
+                server.gone |= !changed.contains(server);
             }
         }
-        return new ServerList(scope, event.generation(), List.copyOf(entries));
+        List<ServerEntry> entries = changed.stream().map(this::controllerEntry).toList();
+        return new ServerList(scope, event.generation(), entries);
     }
 
-    private void applyEntry(VideoServer server, BusEvent.Entry entry) {
+    private ServerEntry controllerEntry(VideoServer server) {
+        BusEvent.Entry entry = server.entry;
+        ServerState state = server.gone
+                ? ServerState.GONE
+                : entry.lifecycle() == BusEvent.Lifecycle.TERMINATING ? ServerState.DRAINING : ServerState.READY;
+        return new ServerEntry(
+                server.number,
+                state,
+                Math.max(0, platform.kinds().indexOf(entry.kind())),
+                Math.max(0, platform.zones().indexOf(entry.zone())),
+                entry.cell(),
+                entry.startedAtMs(),
+                entry.weight());
+    }
+
+    /** Applies a server's latest entry; adds servers that lose their address by it to {@code changed}. */
+    private void applyEntry(VideoServer server, Set<VideoServer> changed) {
+        BusEvent.Entry entry = server.entry;
         server.gone = entry.lifecycle() == BusEvent.Lifecycle.TERMINATED;
-        InetSocketAddress previousAddress = server.address;
-        boolean moved = entry.address() != null
-                && previousAddress != null
-                && !entry.address().equals(previousAddress);
-        if (entry.address() != null) {
-            server.address = entry.address();
-        }
-        if (server.gone || entry.address() == null) {
+        if (entry.address() == null) {
             return;
         }
-        if (moved || entry.startedAtMs() > server.startedAtMs) {
-            server.startedAtMs = Math.max(server.startedAtMs, entry.startedAtMs());
-            double startMs = moved ? Double.MAX_VALUE : entry.startedAtMs();
-            endSessionsBefore(server, startMs);
-            // links to the previous process are dead, or reach another process at the same address
-            for (ServerLink link : List.copyOf(server.links)) {
-                if (link.openedAtMs < startMs) {
-                    link.unusable = true;
-                    if (moved || link.attempts.isEmpty()) {
-                        link.connection.close();
-                    }
-                }
+        VideoServer owner = ownerOf(entry.address(), server);
+        double startedAtMs = Math.max(server.startedAtMs, entry.startedAtMs());
+        if (owner != null && (server.gone || !owner.gone && startedAtMs < owner.startedAtMs)) {
+            // late news of a server that was at this address before
+            loseAddress(server);
+            return;
+        }
+        boolean moved = server.address != null && !entry.address().equals(server.address);
+        server.address = entry.address();
+        if (server.gone) {
+            return;
+        }
+        if (moved || startedAtMs > server.startedAtMs) {
+            server.startedAtMs = startedAtMs;
+            replaceProcess(server, moved ? Double.MAX_VALUE : entry.startedAtMs());
+        }
+        if (owner != null) {
+            loseAddress(owner);
+            if (owner.entry != null) {
+                changed.add(owner);
+            }
+        }
+    }
+
+    /** Returns the other server that is known to be at the address now, or null. */
+    private VideoServer ownerOf(InetSocketAddress address, VideoServer except) {
+        for (VideoServer server : servers.values()) {
+            if (server != except && address.equals(server.address)) {
+                return server;
             }
         }
-        for (VideoServer other : List.copyOf(servers.values())) {
-            // the previous server at this address is gone, because another one answers there now
-            if (other != server && server.address.equals(other.address)) {
-                other.address = null;
-                other.gone = true;
-                endSessionsAndLinks(other, "another server has its address now");
+        return null;
+    }
+
+    /** Records that another server answers at the address of this one, which is therefore gone. */
+    private void loseAddress(VideoServer server) {
+        server.address = null;
+        server.gone = true;
+        endSessionsAndLinks(server, "another server has its address now");
+    }
+
+    /** Ends what belongs to the process of a server before {@code startMs}, when a new one has started. */
+    private void replaceProcess(VideoServer server, double startMs) {
+        endSessionsBefore(server, startMs);
+        // links to the previous process are dead, or reach another process at the same address
+        for (ServerLink link : List.copyOf(server.links)) {
+            if (link.openedAtMs < startMs) {
+                link.unusable = true;
+                if (startMs == Double.MAX_VALUE || link.attempts.isEmpty()) {
+                    link.connection.close();
+                }
             }
         }
     }
@@ -270,7 +300,7 @@
     /** Returns whether the list has named the server. */
     public boolean isListed(long serverNumber) {
         VideoServer server = servers.get(serverNumber);
-        return server != null && server.listed;
+        return server != null && server.entry != null;
     }
 
     // --- Attempts ---
@@ -784,7 +814,7 @@
                 unlinked.add(server);
             } else if (sessions.playingCountAt(server.number) > 0) {
                 checkServerWithSessions(server, unlinked);
-            } else if ((server.gone || !server.listed)
+            } else if ((server.gone || server.entry == null)
                     && server.links.stream().allMatch(link -> link.attempts.isEmpty())) {
                 forget(server);
             }
@@ -816,7 +846,8 @@
         double silenceTimeoutMs = settings.silenceTimeoutMs() * (1 + server.timingJitter);
         if (server.address == null
                 && nowMs - Math.max(server.lastReceivedAtMs, server.firstKnownAtMs) > SILENT_BEFORE_DEAD_MS) {
-            endSessionsAndLinks(server, server.listed ? "it has no address" : "the server list does not name it");
+            endSessionsAndLinks(
+                    server, server.entry != null ? "it has no address" : "the server list does not name it");
         } else if (server.links.isEmpty()) {
             unlinked.add(server);
         } else if (nowMs - Math.max(server.lastReceivedAtMs, server.lastCheckedAtMs) > silenceTimeoutMs) {
--- a/manager/src/main/java/calicovale/manager/servers/VideoServer.java
+++ b/manager/src/main/java/calicovale/manager/servers/VideoServer.java
@@ -1,5 +1,6 @@
 package calicovale.manager.servers;
 
+import calicovale.manager.bus.BusEvent;
 import calicovale.protocols.net.Timer;
 import calicovale.protocols.signal.Message;
 import java.net.InetSocketAddress;
@@ -17,8 +18,8 @@
     final String name;
     /** Null: it is not known, or belongs to another server now. */
     InetSocketAddress address;
-    /** Whether the server list has named it; if not, a session that was handed over did. */
-    boolean listed;
+    /** Its latest entry in the server list; null: the list has not named it, but a session that was handed over did. */
+    BusEvent.Entry entry;
 
     /** Whether it is terminated, missing in the complete list, or replaced by another server at its address. */
     boolean gone;
