A server that was out of reach and returns without a word has lost its sessions

Sessions of a machine that vanishes for 5 s and returns with a new process are released when the list tells it, 13.4 s late.

Cause: a connection that opened wiped out that others had timed out before, and from then on silence alone ended no session; the look came 4.5 to 5.4 s after the last word, too late for an outage of 5 s.

Change: the look comes after 4.05 to 4.5 s; if connections timed out in this silence, one opens and nothing comes for 0.5 s more and 6.5 s in all, the sessions are over, and are released at the server too.

Also: a fake server closes its side at the end of input after its reader has ended.

--- a/manager/src/main/java/calicovale/manager/servers/ServerLink.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerLink.java
@@ -128,8 +128,7 @@
     public void onBytes(Connection source, ByteBuffer bytes) {
         lastReceivedAtMs = pool.nowMs();
         lastUsedAtMs = lastReceivedAtMs;
-        server.lastReceivedAtMs = lastReceivedAtMs;
-        server.lostInput.serverHeard(lastReceivedAtMs);
+        server.recordReceived(lastReceivedAtMs);
         try {
             parser.feed(bytes, message -> {
                 partialSinceMs = 0;
--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -90,6 +90,8 @@
      * within 8 s of a session's end.
      */
     private static final double SILENT_BEFORE_DEAD_MS = 6500;
+    /** Time, in ms, for which a server that can be reached again may say nothing before its sessions are ended. */
+    private static final double RETURNED_SILENT_MS = 500;
     /** Minimum time, in ms, for which connections must have timed out before a silent server is considered dead. */
     private static final double UNREACHABLE_BEFORE_DEAD_MS = 1000;
 
@@ -653,11 +655,7 @@
     // --- State of links and servers ---
 
     void linkOpened(ServerLink link) {
-        VideoServer server = link.server;
-        server.consecutiveRefusals = 0;
-        server.releaseResends = 0;
-        server.unreachableSinceMs = 0;
-        server.lostInput.linkOpened(link.number);
+        link.server.recordOpened(link, nowMs());
     }
 
     /** Removes a link, so that nothing more is sent on it and it no longer counts towards the bound. */
@@ -716,6 +714,7 @@
             log.warn("server.not-tried", connectFailure.getMessage());
         } else if (connectFailure.timedOut()) {
             log.count("server.unreachable");
+            server.unreachableSinceReceived = true;
             server.unreachableSinceMs =
                     server.unreachableSinceMs > 0 ? server.unreachableSinceMs : nowMs - settings.connectTimeoutMs();
         } else {
@@ -790,6 +789,35 @@
         return maxDelayMs * (1 - JITTER * random.nextDouble());
     }
 
+    /**
+     * Returns whether a server was out of reach, can be reached again and has said nothing since. Then a new process
+     * answers there, which does not know the sessions, or the sessions are cut off from it for too long.
+     */
+    private boolean hasReturnedSilent(VideoServer server) {
+        return server.unreachableSinceReceived
+                && server.unreachableSinceMs == 0
+                && nowMs() - server.reachableAgainAtMs > RETURNED_SILENT_MS
+                && nowMs() - server.lastReceivedAtMs > SILENT_BEFORE_DEAD_MS;
+    }
+
+    /**
+     * Ends the sessions of a server that has returned without a word, and closes its links from before. The sessions
+     * are released at the server too, in case its process is the same.
+     */
+    private void endSessionsOfFormerProcess(VideoServer server) {
+        for (ServerLink link : List.copyOf(server.links)) {
+            if (link.openedAtMs < server.reachableAgainAtMs - settings.connectTimeoutMs()) {
+                link.connection.close();
+            }
+        }
+        List<Session> ended = sessions.playingAt(server.number);
+        log.warn("server.returned-silent", server + ": " + ended.size() + " sessions ended");
+        for (Session session : ended) {
+            sendRelease(session, Cause.NORMAL);
+            listener.sessionEnded(session, server.number, Outcome.RESET, Map.of());
+        }
+    }
+
     /** Ends the sessions and closes the links of a server that is considered dead. */
     private void endSessionsAndLinks(VideoServer server, String reason) {
         server.waitingMessages.clear();
@@ -843,11 +871,13 @@
     /** Checks whether a server with playing sessions can be reached; adds it to {@code unlinked} if it has no link. */
     private void checkServerWithSessions(VideoServer server, List<VideoServer> unlinked) {
         double nowMs = nowMs();
-        double silenceTimeoutMs = settings.silenceTimeoutMs() * (1 + server.timingJitter);
+        double silenceTimeoutMs = settings.silenceTimeoutMs() * (1 - server.timingJitter / 2);
         if (server.address == null
                 && nowMs - Math.max(server.lastReceivedAtMs, server.firstKnownAtMs) > SILENT_BEFORE_DEAD_MS) {
             endSessionsAndLinks(
                     server, server.entry != null ? "it has no address" : "the server list does not name it");
+        } else if (hasReturnedSilent(server)) {
+            endSessionsOfFormerProcess(server);
         } else if (server.links.isEmpty()) {
             unlinked.add(server);
         } else if (nowMs - Math.max(server.lastReceivedAtMs, server.lastCheckedAtMs) > silenceTimeoutMs) {
--- a/manager/src/main/java/calicovale/manager/servers/VideoServer.java
+++ b/manager/src/main/java/calicovale/manager/servers/VideoServer.java
@@ -44,6 +44,10 @@
     double refusedSinceMs;
     /** Time since which connections have timed out and none has opened; 0: none has timed out. */
     double unreachableSinceMs;
+    /** Whether a connection has timed out since something was last received. */
+    boolean unreachableSinceReceived;
+    /** Time at which a first connection opened after others had timed out. */
+    double reachableAgainAtMs;
 
     /** Number of links that were created; the newest one has this number. */
     int linksCreated;
@@ -65,6 +69,22 @@
         lastReceivedAtMs = nowMs;
     }
 
+    /** Records that something was received from the server. */
+    void recordReceived(double nowMs) {
+        lastReceivedAtMs = nowMs;
+        unreachableSinceReceived = false;
+        lostInput.serverHeard(nowMs);
+    }
+
+    /** Records that a link has opened. */
+    void recordOpened(ServerLink link, double nowMs) {
+        reachableAgainAtMs = unreachableSinceMs > 0 ? nowMs : reachableAgainAtMs;
+        unreachableSinceMs = 0;
+        consecutiveRefusals = 0;
+        releaseResends = 0;
+        lostInput.linkOpened(link.number);
+    }
+
     boolean hasUsableLink() {
         return links.stream().anyMatch(link -> link.open && !link.unusable);
     }
--- a/manager/src/test/java/calicovale/manager/ManagerHarness.java
+++ b/manager/src/test/java/calicovale/manager/ManagerHarness.java
@@ -431,9 +431,9 @@
                                 }
                             }
                             peer.send(releasesAtEndOfInput.toArray(Message[]::new));
-                            peer.socket.close();
                         } finally {
                             peer.readerEnded.countDown();
+                            peer.socket.close();
                         }
                     });
                 }
@@ -474,7 +474,12 @@
             releasesForNextConnection.add(release);
             List<Peer> open = openPeers();
             if (!open.isEmpty()) {
-                open.get(open.size() - 1).send(release);
+                try {
+                    open.get(open.size() - 1).send(release);
+                } catch (SocketException e) {
+                    // the manager has closed the connection meanwhile; the next one carries the release
+                    return;
+                }
             }
         }
 
