A slow event bus is heard on the connection that asked it first

While all that the bus writes comes 3 s late, a draining video server gets 26 to 30 set-ups after the grace.

Cause: a request without an answer was dropped after 2.1 to 2.5 s, like a bus that has stopped, and the next one had the same time. Evidence: with the clock stopped and the first request answered after the second, the manager notices nothing.

Change: a connection whose request is not answered yet is kept beside the next one, 10 s at most and one at a time; whichever is answered first is used.

EventOrderTest.anAnswerOfASlowBusIsHeardAfterItWasAskedAgain failed before and passes, with all tests of the manager.

--- a/manager/src/main/java/calicovale/manager/bus/EventBusClient.java
+++ b/manager/src/main/java/calicovale/manager/bus/EventBusClient.java
@@ -47,6 +47,11 @@
 
     /** Lower bound, in ms, of the limit that {@link #MAX_GRACE_FRACTION} gives, however short the grace time is. */
     private static final double MIN_RECONNECT_LIMIT_MS = 25;
+    /**
+     * Time, in ms, for which the answer to a request is still awaited after another connection was made, because the
+     * bus may be slow.
+     */
+    private static final double SLOW_ANSWER_TIMEOUT_MS = 10_000;
     /** Time, in ms, after a request in which the bus has written all missed events; it writes them at once. */
     private static final double CATCH_UP_MS = 250;
     /**
@@ -64,6 +69,9 @@
     private final double connectTimeoutMs;
     private InetSocketAddress address;
     private BusConnection currentConnection;
+    /** An earlier connection whose request is not answered yet; null: there is none. */
+    private BusConnection slowConnection;
+
     private Timer reconnectTimer;
     private Runnable caughtUpCallback;
     private long lastOffset;
@@ -127,10 +135,39 @@
         }
         address = newAddress;
         backoff.reset();
+        dropSlowConnection();
         disconnect();
         connect();
     }
 
+    private void dropSlowConnection() {
+        BusConnection slow = slowConnection;
+        slowConnection = null;
+        if (slow != null) {
+            slow.connection.close();
+        }
+    }
+
+    /** Keeps a connection whose request is not answered yet, while another one is made. */
+    private void keepAsSlow(BusConnection connection) {
+        slowConnection = connection;
+        currentConnection = null;
+        loop.schedule(SLOW_ANSWER_TIMEOUT_MS, () -> {
+            if (slowConnection == connection) {
+                dropSlowConnection();
+            }
+        });
+    }
+
+    /** Uses the slow connection, whose answer has come, in place of the current one. */
+    private void useSlowConnection() {
+        log.count("bus.slow");
+        BusConnection answered = slowConnection;
+        slowConnection = null;
+        disconnect();
+        currentConnection = answered;
+    }
+
     private void disconnect() {
         if (reconnectTimer != null) {
             reconnectTimer.cancel();
@@ -165,6 +202,8 @@
         private final ByteArrayOutputStream lineBytes = new ByteArrayOutputStream();
         private Connection connection;
         private Timer silenceTimer;
+        /** Whether a line was received. */
+        private boolean answered;
 
         private void restartSilenceTimer() {
             if (silenceTimer != null) {
@@ -172,6 +211,9 @@
             }
             silenceTimer = loop.schedule(silenceTimeoutMs, () -> {
                 if (currentConnection == this) {
+                    if (!answered && slowConnection == null) {
+                        keepAsSlow(this);
+                    }
                     reconnect("bus.silent", "no line from the event bus for " + (long) silenceTimeoutMs + " ms");
                 }
             });
@@ -189,11 +231,12 @@
 
         @Override
         public void onBytes(Connection source, ByteBuffer bytes) {
-            while (bytes.hasRemaining() && currentConnection == this) {
+            while (bytes.hasRemaining() && (currentConnection == this || slowConnection == this)) {
                 byte nextByte = bytes.get();
                 if (nextByte != '\n') {
                     lineBytes.write(nextByte);
                     if (lineBytes.size() > MAX_LINE_BYTES) {
+                        recordAnswer();
                         reconnect("bus.bad-line", "line is longer than " + MAX_LINE_BYTES + " bytes");
                     }
                     continue;
@@ -201,6 +244,7 @@
                 String text = lineBytes.toString(StandardCharsets.UTF_8).trim();
                 lineBytes.reset();
                 if (!text.isEmpty()) {
+                    recordAnswer();
                     restartSilenceTimer();
                     handleLine(text);
                 }
@@ -208,6 +252,15 @@
             bytes.position(bytes.limit());
         }
 
+        private void recordAnswer() {
+            answered = true;
+            if (slowConnection == this) {
+                useSlowConnection();
+            } else {
+                dropSlowConnection();
+            }
+        }
+
         private void handleLine(String text) {
             try {
                 BusEvent event = BusEvent.parseLine(text);
@@ -243,7 +296,9 @@
         @Override
         public void onClosed(Connection closed, IOException cause) {
             silenceTimer.cancel();
-            if (currentConnection == this) {
+            if (slowConnection == this) {
+                slowConnection = null;
+            } else if (currentConnection == this) {
                 reconnect(
                         "bus.broke",
                         "connection to the event bus at " + address + " was lost: "
--- a/manager/src/test/java/calicovale/manager/EventOrderTest.java
+++ b/manager/src/test/java/calicovale/manager/EventOrderTest.java
@@ -14,6 +14,7 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -31,6 +32,10 @@
 class EventOrderTest {
     /** Number of small messages that are more than the manager reads from a connection in one turn. */
     private static final int UNREAD_MESSAGES = 30_000;
+    /** Time, in ms, after which a bus without a line is asked again. */
+    private static final double BUS_SILENCE_MS = 2600;
+    /** Time, in ms, within which the manager connects to the bus again. */
+    private static final double BUS_RECONNECT_MS = 600;
 
     /** The ways in which a viewer leaves. */
     enum Departure {
@@ -612,4 +617,26 @@
             assertEquals(bytes.length - 1, count(harness, "asked"));
         }
     }
+
+    /** Guards against a slow bus that is never heard, because each request is dropped before its answer comes. */
+    @Test
+    void anAnswerOfASlowBusIsHeardAfterItWasAskedAgain() throws Exception {
+        try (ManagerHarness harness = new ManagerHarness(1)) {
+            harness.clock.stop();
+            assertEquals("from 1", harness.bus.nextRequest());
+            harness.clock.advance(BUS_SILENCE_MS);
+            harness.awaitCount("bus.silent", 1);
+            harness.clock.advance(BUS_RECONNECT_MS);
+            assertEquals("from 1", harness.bus.nextRequest());
+            String event = ManagerHarness.event(
+                            2,
+                            ManagerHarness.entry("s-0", harness.servers.get(0).port(), "terminating", 0))
+                    + "\n";
+            byte[] answer = (event + event).getBytes(StandardCharsets.US_ASCII);
+            harness.bus.connections.get(0).getOutputStream().write(answer);
+            harness.awaitCount("bus.twice", 1);
+            assertEquals(1, count(harness, "bus.slow"));
+            assertEquals(-1, harness.bus.connections.get(1).getInputStream().read(), "the newer connection is closed");
+        }
+    }
 }
--- a/manager/src/test/java/calicovale/manager/ManagerHarness.java
+++ b/manager/src/test/java/calicovale/manager/ManagerHarness.java
@@ -528,6 +528,8 @@
         final ServerSocket listeningSocket;
         private final Thread acceptThread;
         private volatile Socket newestConnection;
+        /** All connections, oldest first. */
+        final List<Socket> connections = new CopyOnWriteArrayList<>();
         /** Written after each request, with a delay of {@link #answerDelayMs}; empty: nothing is written. */
         volatile String answer = "";
 
@@ -548,6 +550,7 @@
                         line.append((char) c);
                     }
                     newestConnection = socket;
+                    connections.add(socket);
                     if (!answer.isEmpty()) {
                         LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(answerDelayMs));
                         write(answer);
