Messages of video servers are handled in a class of their own

Change: ServerMessageHandler takes what a server's message means (answers, refusals, releases, notes); ServerPool keeps links, attempts and the list. Code moved as it was, no behaviour changed.

--- a/manager/src/main/java/calicovale/manager/servers/ServerPool.java
+++ b/manager/src/main/java/calicovale/manager/servers/ServerPool.java
@@ -11,7 +11,6 @@
 import calicovale.manager.UnconfirmedReleases;
 import calicovale.manager.bus.BusEvent;
 import calicovale.manager.sessions.Session;
-import calicovale.manager.sessions.Session.State;
 import calicovale.manager.sessions.SessionTable;
 import calicovale.protocols.net.ConnectFailedException;
 import calicovale.protocols.net.EventLoop;
@@ -124,6 +123,7 @@
     private final Map<Long, VideoServer> servers = new TreeMap<>();
     private final Map<Long, Attempt> attemptsBySession = new HashMap<>();
     private final UnconfirmedReleases<ServerLink> unconfirmedReleases = new UnconfirmedReleases<>();
+    private final ServerMessageHandler messageHandler;
     private int linkCount;
     private int closingLinkCount;
 
@@ -143,6 +143,7 @@
         this.sessions = sessions;
         this.log = log;
         this.listener = listener;
+        messageHandler = new ServerMessageHandler(this, sessions, log, listener);
         loop.schedule(SWEEP_INTERVAL_MS, this::sweep);
     }
 
@@ -455,7 +456,7 @@
      * Ends an attempt. Does nothing if it has ended already, because its timeout, its link and its server may all
      * end it in one turn of the loop.
      */
-    private void endAttempt(Attempt attempt, Outcome outcome, Map<String, Double> load) {
+    void endAttempt(Attempt attempt, Outcome outcome, Map<String, Double> load) {
         Session session = attempt.session;
         if (attemptsBySession.get(session.id()) != attempt) {
             return;
@@ -490,7 +491,8 @@
         sendTo(session.server(), Message.release(session.id(), cause));
     }
 
-    private void sendTo(long serverNumber, Message message) {
+    /** Sends a message to a server on a link to it, which is opened if there is none. */
+    void sendTo(long serverNumber, Message message) {
         VideoServer server = servers.get(serverNumber);
         if (server == null || server.address == null) {
             return;
@@ -535,121 +537,25 @@
 
     /** Handles a message of a server. Returns what is wrong with it, or null. */
     String handle(ServerLink link, Message message) {
-        if (message.malformed()) {
-            return "malformed message: " + message;
-        }
-        Session session = sessions.get(message.sessionId());
-        boolean heldHere = session != null && session.server() == link.server.number;
-        switch (message.type()) {
-            case MessageType.ACM -> {
-                return null;
-            }
-            case MessageType.RLC -> {
-                unconfirmedReleases.confirm(message.sessionId());
-                return null;
-            }
-            case MessageType.ANM -> {
-                return heldHere && session.state() == State.ATTEMPTING
-                        ? handleAnswer(link, session, message)
-                        : handleUnexpectedAnswer(link, message, heldHere);
-            }
-            case MessageType.REL -> {
-                link.send(Message.of(MessageType.RLC, message.sessionId()));
-                if (heldHere && session.state() == State.ATTEMPTING) {
-                    handleRefusal(session, message);
-                } else if (heldHere && session.state() == State.PLAYING) {
-                    handleRelease(session, message);
-                } else {
-                    log.count("server.release-of-none");
-                    if (session == null) {
-                        listener.unknownSessionReleased(message.sessionId());
-                    }
-                }
-                return null;
-            }
-            case MessageType.CPG -> {
-                if (heldHere && session.state() == State.PLAYING) {
-                    handleNote(session, message);
-                }
-                return null;
-            }
-            default -> {
-                return "unexpected message of type " + message.type();
-            }
-        }
+        return messageHandler.handle(link, message);
     }
 
-    private String handleAnswer(ServerLink link, Session session, Message message) {
-        Attempt attempt = attemptsBySession.get(session.id());
-        byte[] description = message.value(Parameter.DESCRIPTION);
-        if (attempt == null || attempt.link != link) {
-            return handleUnexpectedAnswer(link, message, true);
-        }
-        if (description == null) {
-            return "answer without a description";
-        }
-        double elapsedMs = nowMs() - attempt.sentAtMs;
-        forget(attempt);
-        sessions.attemptSucceeded(session);
-        listener.attemptSucceeded(session, elapsedMs, description);
-        return null;
-    }
-
-    /** Releases a session that was answered and is not held for this server; ignores a repeated answer. */
-    private String handleUnexpectedAnswer(ServerLink link, Message message, boolean heldHere) {
-        log.count("server.answer-of-none");
-        if (!heldHere) {
-            Message release = Message.release(message.sessionId(), Cause.NORMAL);
-            if (link.closing) {
-                sendTo(link.server.number, release);
-            } else {
-                link.send(release);
-            }
-        }
-        return null;
+    /** Returns the attempt in progress of a session, or null. */
+    Attempt attemptOf(Session session) {
+        return attemptsBySession.get(session.id());
     }
 
-    private void handleRefusal(Session session, Message message) {
-        Attempt attempt = attemptsBySession.get(session.id());
-        Outcome outcome =
-                switch (message.cause()) {
-                    case Cause.NO_CIRCUIT -> Outcome.FULL;
-                    case Cause.UNAVAILABLE -> Outcome.ERROR;
-                    case Cause.TIMER_EXPIRY -> Outcome.MOOT;
-                    default -> Outcome.RESET;
-                };
-        endAttempt(attempt, outcome, loadReport(message));
-    }
-
-    private void handleRelease(Session session, Message message) {
-        Outcome outcome =
-                switch (message.cause()) {
-                    case Cause.NORMAL -> Outcome.OK;
-                    case Cause.CANCELLED -> Outcome.CANCELLED;
-                    default -> Outcome.RESET;
-                };
-        listener.sessionEnded(session, session.server(), outcome, loadReport(message));
-    }
-
-    private void handleNote(Session session, Message message) {
-        NoteKind kind =
-                switch (String.valueOf(message.text(Parameter.NOTE))) {
-                    case "quality" -> NoteKind.DELIVERED_SHARE;
-                    case "profile" -> NoteKind.RUNG;
-                    case "nic" -> NoteKind.LINK_USE;
-                    case "tor" -> NoteKind.UPLINK_USE;
-                    default -> null;
-                };
-        double value = ServerReportParser.nonNegativeNumber(message.text(Parameter.VALUE));
-        if (kind == null || Double.isNaN(value)) {
-            log.count("server.note-unknown");
-            return;
-        }
-        listener.noteReceived(session, kind, value);
+    /** Ends an attempt whose session plays now. */
+    void attemptSucceeded(Attempt attempt, byte[] description) {
+        double elapsedMs = nowMs() - attempt.sentAtMs;
+        forget(attempt);
+        sessions.attemptSucceeded(attempt.session);
+        listener.attemptSucceeded(attempt.session, elapsedMs, description);
     }
 
-    private Map<String, Double> loadReport(Message message) {
-        return ServerReportParser.loadReport(message.text(Parameter.LOAD));
+    /** Records that the server has confirmed the release of a session. */
+    void releaseConfirmed(long sessionId) {
+        unconfirmedReleases.confirm(sessionId);
     }
 
     // --- State of links and servers ---
