--- a/protocols/src/main/java/calicovale/protocols/net/ReadFairness.java
+++ b/protocols/src/main/java/calicovale/protocols/net/ReadFairness.java
@@ -10,9 +10,9 @@
  */
 final class ReadFairness {
     /** Time in ns for reading in one turn, beside that of connections that took little lately. */
-    private static final long TURN_BUDGET_NANOS = 5_000_000;
+    private static final long TURN_BUDGET_NANOS = 10_000_000;
     /** Recent time in ns up to which a connection is read in each turn. */
-    private static final long LIGHT_NANOS = 1_000_000;
+    private static final long LIGHT_NANOS = 2_000_000;
     /** Time in ns after which half of a connection's recent time is forgotten. */
     private static final long HALF_LIFE_NANOS = 500_000_000;
 
